Lay the base: results, settings, configuration, ports, adapters, stand-ins

Cause: an empty repository. The library keeps decisions apart from sockets; ports are protocols with one HTTP adapter each.

--- /dev/null
+++ b/yuccavalve/configuration/adoption.py
@@ -0,0 +1,163 @@
+"""Decide which version a daemon runs and whether it may still trust it.
+
+A daemon may admit work while it can show that its version was the newest
+accepted one at most ``CONFIG_FRESH_S`` ago. Two kinds of evidence count:
+
+- the head of the table service, read by this daemon or by a peer;
+- a majority of the voters of one region, none of which had adopted a newer
+  version at that time.
+
+A change is accepted when a majority of the voters of every region has adopted
+it, so any one region's majority meets every accepted change. Ages in a
+peer's reply count from before the request was sent, so that no clocks are
+compared. See ``docs/design/configuration.md``.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+import attrs
+
+from yuccavalve.configuration.models import Configuration, Voter
+from yuccavalve.const import CONFIG_FRESH_S
+
+__all__ = ('AdoptionState', 'Evidence')
+
+_NEVER_S = float('-inf')
+
+
+@attrs.frozen
+class Evidence:
+    """A voter ran a version at a reading of the own clock."""
+
+    member: str
+    version: int
+    at_s: float
+
+
+@attrs.define
+class AdoptionState:
+    """The version in force at one daemon, and its evidence."""
+
+    member: str
+    configuration: Configuration = Configuration(0, 0, '', '', '')
+    store_at_s: float = _NEVER_S
+    fresh_s: float = CONFIG_FRESH_S
+    _evidence: dict[str, Evidence] = attrs.field(factory=dict)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.configuration.version
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Take a newer version; return False for an older or equal one."""
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        return True
+
+    def observe_head(self, version: int, sent_at_s: float) -> bool:
+        """Note the head that the table service gave.
+
+        Parameters
+        ----------
+        version
+            The head's version.
+        sent_at_s
+            The reading before the read was sent.
+
+        Returns
+        -------
+        bool
+            True when a newer version has to be fetched.
+        """
+        if version <= self.version:
+            self.store_at_s = max(self.store_at_s, sent_at_s)
+        return version > self.version
+
+    def observe_voters(self, reports: Iterable[Evidence]) -> None:
+        """Note which version voters ran, the newest report of each."""
+        for report in reports:
+            known = self._evidence.get(report.member)
+            if known is None or report.at_s > known.at_s:
+                self._evidence[report.member] = report
+
+    def evidence(self, now_s: float) -> list[Evidence]:
+        """Return what is known of each voter, this daemon included."""
+        known = dict(self._evidence)
+        known[self.member] = Evidence(self.member, self.version, now_s)
+        members = {
+            voter.member
+            for voters in self.configuration.electorate.voter_sets()
+            for voter in voters
+        }
+        return [known[name] for name in sorted(members & known.keys())]
+
+    def forget_except(self, members: set[str]) -> None:
+        """Drop the evidence of members that have left."""
+        for name in self._evidence.keys() - members:
+            self._evidence.pop(name)
+
+    def confirmed_at(self, now_s: float) -> float:
+        """Return the latest reading at which the version was the newest."""
+        return max(self.store_at_s, self._majority_at(now_s))
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Tell whether work may be admitted under the version in force."""
+        return now_s - self.confirmed_at(now_s) <= self.fresh_s
+
+    def accepted(self, version: int, now_s: float) -> bool:
+        """Tell whether a version is known to be accepted."""
+        if self.version < version:
+            return False
+        adopters = {
+            report.member
+            for report in self.evidence(now_s)
+            if report.version >= version
+        }
+        return all(
+            _holds_majority(voters, adopters)
+            for voter_set in self.configuration.electorate.voter_sets()
+            for voters in _by_region(voter_set).values()
+        )
+
+    def _majority_at(self, now_s: float) -> float:
+        sets = self.configuration.electorate.voter_sets()
+        if not sets:
+            return _NEVER_S
+        times = {
+            report.member: report.at_s
+            for report in self.evidence(now_s)
+            if report.version <= self.version
+        }
+        return min(_best_region_at(voter_set, times) for voter_set in sets)
+
+
+def _best_region_at(
+    voter_set: tuple[Voter, ...],
+    times: dict[str, float],
+) -> float:
+    return max(
+        _majority_time(voters, times)
+        for voters in _by_region(voter_set).values()
+    )
+
+
+def _majority_time(voters: list[str], times: dict[str, float]) -> float:
+    readings = sorted(
+        (times.get(voter, _NEVER_S) for voter in voters),
+        reverse=True,
+    )
+    return readings[len(voters) // 2]
+
+
+def _holds_majority(voters: list[str], adopters: set[str]) -> bool:
+    return len(adopters.intersection(voters)) > len(voters) // 2
+
+
+def _by_region(voter_set: tuple[Voter, ...]) -> dict[str, list[str]]:
+    regions: dict[str, list[str]] = defaultdict(list)
+    for voter in voter_set:
+        regions[voter.region].append(voter.member)
+    return regions
--- /dev/null
+++ b/yuccavalve/configuration/commit.py
@@ -0,0 +1,187 @@
+"""Commit configuration versions in the table service.
+
+A commit whose answer is lost is sent again under the same condition: it
+either applies, or fails because the head moved, and then the row of the
+change's id tells who moved it.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from yuccavalve.configuration.codec import (
+    check_document,
+    decode_configuration,
+    encode_configuration,
+)
+from yuccavalve.configuration.const import (
+    CHANGE_KEY,
+    HEAD_KEY,
+    RESOLVE_ATTEMPTS,
+    RESOLVE_PAUSE_S,
+    VERSION_KEY,
+)
+from yuccavalve.configuration.models import (
+    Configuration,
+    Document,
+    Electorate,
+)
+from yuccavalve.exceptions import (
+    RevisionConflictError,
+    StoreUnavailableError,
+    TransactionConflictError,
+)
+from yuccavalve.ports import Condition, Row, TableStore, Transaction, Write
+
+__all__ = ('Change', 'ConfigurationStore', 'Head')
+
+_EMPTY = Configuration(0, 0, '', '', '')
+
+
+@attrs.frozen
+class Head:
+    """The newest committed version and its row's version."""
+
+    version: int
+    row_version: int | None
+
+
+@attrs.frozen
+class Change:
+    """An edit to commit.
+
+    Attributes
+    ----------
+    against_revision
+        The revision that the edit was made against; None takes any.
+    """
+
+    change_id: str
+    author: str
+    summary: str
+    edit: Callable[[Document], Document]
+    against_revision: int | None = None
+
+
+@attrs.frozen
+class ConfigurationStore:
+    """Versions in the table service."""
+
+    table: TableStore
+    pause_s: float = RESOLVE_PAUSE_S
+
+    async def async_head(self) -> Head:
+        """Return the head; version 0 stands for none."""
+        rows = await self.table.async_read([HEAD_KEY])
+        row = rows.get(HEAD_KEY)
+        if row is None:
+            return Head(0, None)
+        return Head(row.fields['version'], row.version)
+
+    async def async_load(self, version: int) -> Configuration:
+        """Return a committed version."""
+        if version == 0:
+            return _EMPTY
+        key = VERSION_KEY.format(version=version)
+        rows = await self.table.async_read([key])
+        return decode_configuration(rows[key].fields['body'])
+
+    async def async_commit(self, change: Change) -> Configuration:
+        """Commit an operator's edit on top of the head.
+
+        Raises
+        ------
+        RevisionConflictError
+            When another edit came first; the error names it.
+        StoreUnavailableError
+            With ``may_have_applied`` when the outcome is not known.
+        """
+        while True:
+            head = await self.async_head()
+            base = await self.async_load(head.version)
+            if base.change_id == change.change_id:
+                return base
+            _check_revision(base, change)
+            document = change.edit(base.document)
+            check_document(document)
+            successor = attrs.evolve(
+                base,
+                version=base.version + 1,
+                revision=base.revision + 1,
+                change_id=change.change_id,
+                author=change.author,
+                summary=change.summary,
+                document=document,
+            )
+            if await self._async_advance(head, successor):
+                return successor
+
+    async def async_commit_electorate(
+        self,
+        base: Configuration,
+        electorate: Electorate,
+        change_id: str,
+    ) -> Configuration | None:
+        """Commit a new electorate on a base; None when the head moved."""
+        head = await self.async_head()
+        if head.version != base.version:
+            return None
+        successor = attrs.evolve(
+            base,
+            version=base.version + 1,
+            change_id=change_id,
+            electorate=electorate,
+        )
+        if await self._async_advance(head, successor):
+            return successor
+        return None
+
+    async def _async_advance(
+        self,
+        head: Head,
+        successor: Configuration,
+    ) -> bool:
+        transaction = _advance(head, successor)
+        for attempt in range(RESOLVE_ATTEMPTS):
+            try:
+                await self.table.async_transact(transaction)
+            except TransactionConflictError:
+                return await self._async_is_ours(successor)
+            except StoreUnavailableError as error:
+                last_attempt = attempt == RESOLVE_ATTEMPTS - 1
+                if last_attempt or not error.may_have_applied:
+                    raise
+                await asyncio.sleep(self.pause_s)
+            else:
+                return True
+        return False
+
+    async def _async_is_ours(self, successor: Configuration) -> bool:
+        key = CHANGE_KEY.format(change_id=successor.change_id)
+        rows = await self.table.async_read([key])
+        row: Row | None = rows.get(key)
+        return row is not None and row.fields['version'] == successor.version
+
+
+def _check_revision(base: Configuration, change: Change) -> None:
+    against = change.against_revision
+    if against is not None and against != base.revision:
+        raise RevisionConflictError(base.revision, base.author, base.summary)
+
+
+def _advance(head: Head, successor: Configuration) -> Transaction:
+    body = encode_configuration(successor).decode()
+    version_key = VERSION_KEY.format(version=successor.version)
+    change_key = CHANGE_KEY.format(change_id=successor.change_id)
+    return Transaction(
+        conditions=(
+            Condition(HEAD_KEY, head.row_version),
+            Condition(change_key, None),
+        ),
+        writes=(
+            Write(HEAD_KEY, {'version': successor.version}),
+            Write(version_key, {'body': body}),
+            Write(change_key, {'version': successor.version}),
+        ),
+    )
--- /dev/null
+++ b/yuccavalve/hashing.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing over member and replica ids."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+__all__ = ('rendezvous_order', 'short_id')
+
+
+def rendezvous_order(key: str, candidates: Iterable[str]) -> list[str]:
+    """Return candidates from the highest weight for a key to the lowest.
+
+    Notes
+    -----
+    Thaler and Ravishankar, "Using name-based mappings to increase hit
+    rates", 1998.
+    """
+    return sorted(
+        candidates,
+        key=lambda name: (xxhash.xxh64_intdigest(f'{key}|{name}'), name),
+        reverse=True,
+    )
+
+
+def short_id(name: str) -> int:
+    """Return a 32-bit digest of a name, for digests between peers."""
+    return xxhash.xxh32_intdigest(name)
--- /dev/null
+++ b/yuccavalve/load/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, limits, fairness and retries as pure decisions."""
--- /dev/null
+++ b/yuccavalve/serving.py
@@ -0,0 +1,107 @@
+"""Run ASGI applications on sockets that are bound beforehand."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+__all__ = ('HttpServer', 'bind_socket')
+
+_BACKLOG = 1024
+_MAX_HEADER_BYTES = 32768
+_KEEP_ALIVE_S = 30
+
+
+class BoundedHeaderProtocol(HttpToolsProtocol):
+    """The library's protocol with a bound on the size of a header block."""
+
+    header_bytes = 0
+
+    def on_message_begin(self) -> None:
+        """Start to count a new header block."""
+        self.header_bytes = 0
+        super().on_message_begin()
+
+    def on_url(self, url: bytes) -> None:
+        """Count the target and go on."""
+        self._count_header(len(url))
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
+        """Count a header and go on."""
+        self._count_header(len(name) + len(value))
+        super().on_header(name, value)
+
+    def _count_header(self, size_bytes: int) -> None:
+        self.header_bytes += size_bytes
+        if self.header_bytes > _MAX_HEADER_BYTES:
+            raise ValueError('header block is too large')
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to the process that runs the server."""
+        yield
+
+
+class HttpServer:
+    """An ASGI application behind one listening socket."""
+
+    def __init__(self, application: Any, listener: socket.socket) -> None:
+        """Prepare the server; nothing is accepted yet."""
+        self._listener = listener
+        self._server = _Server(
+            uvicorn.Config(
+                application,
+                http=BoundedHeaderProtocol,
+                loop='asyncio',
+                lifespan='off',
+                ws='none',
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                date_header=False,
+                timeout_keep_alive=_KEEP_ALIVE_S,
+                backlog=_BACKLOG,
+            ),
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the IP number and port."""
+        host, port = self._listener.getsockname()[:2]
+        return f'{host}:{port}'
+
+    async def async_start(self) -> None:
+        """Begin to accept connections."""
+        self._task = asyncio.create_task(
+            self._server.serve(sockets=[self._listener]),
+        )
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+            await asyncio.sleep(0.01)
+
+    async def async_stop(self) -> None:
+        """Stop to accept, let responses end, and close."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+
+def bind_socket(address: str) -> socket.socket:
+    """Bind and return a TCP socket for an IP number and port."""
+    host, _, port = address.rpartition(':')
+    host = host.strip('[]')
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/yuccavalve/settings/const.py
@@ -0,0 +1,8 @@
+"""Names and limits of the settings file."""
+
+from typing import Final
+
+SECTION_ADDRESS_FIELDS: Final = ('caller_address', 'peer_address')
+MIN_PORT: Final = 0
+MAX_PORT: Final = 65535
+UNIT_SUFFIXES: Final = ('_s', '_ms', '_bytes', '_tokens')
--- /dev/null
+++ b/yuccavalve/settings/loader.py
@@ -0,0 +1,185 @@
+"""Read a settings file and report a fault with the path of its field."""
+
+import ipaddress
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, NoReturn
+
+import attrs
+import cattrs
+from cattrs.errors import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+
+from yuccavalve.exceptions import SettingsInvalidError
+from yuccavalve.results import ResultCode
+from yuccavalve.settings.const import MAX_PORT, MIN_PORT, UNIT_SUFFIXES
+from yuccavalve.settings.models import Settings
+
+__all__ = ('load_settings',)
+
+_SCALARS = (int, float, str)
+
+
+def load_settings(path: Path) -> Settings:
+    """Read, check and return the settings of a file.
+
+    Raises
+    ------
+    SettingsInvalidError
+        With the file, the path of the field, what was found and what is
+        expected.
+    """
+    document = _read_document(path)
+    settings = _structure(path, document)
+    _check_numbers(path, settings)
+    _check_addresses(path, settings)
+    return settings
+
+
+def _read_document(path: Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(path.read_text())
+    except OSError as error:
+        raise SettingsInvalidError(
+            ResultCode.SETTINGS_UNREADABLE,
+            f'{path}: {error.strerror}',
+        ) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsInvalidError(
+            ResultCode.SETTINGS_UNREADABLE,
+            f'{path}: not TOML: {error}',
+        ) from error
+
+
+def _structure(path: Path, document: dict[str, Any]) -> Settings:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for scalar in _SCALARS:
+        converter.register_structure_hook(scalar, _strict_scalar)
+    converter.register_structure_hook(Path, _strict_path)
+    try:
+        return converter.structure(document, Settings)
+    except (ClassValidationError, IterableValidationError) as error:
+        _raise_first(path, error)
+
+
+def _strict_scalar(found: Any, kind: type) -> Any:
+    accepted = (int, float) if kind is float else (kind,)
+    if isinstance(found, bool) or not isinstance(found, accepted):
+        raise TypeError(f'expected {kind.__name__}, found {found!r}')
+    return kind(found)
+
+
+def _strict_path(found: Any, _: type) -> Path:
+    return Path(_strict_scalar(found, str))
+
+
+def _raise_first(path: Path, error: BaseException) -> NoReturn:
+    field, cause = next(_walk(error, ''))
+    code = ResultCode.SETTINGS_FIELD_INVALID
+    text = str(cause)
+    if isinstance(cause, ForbiddenExtraKeysError):
+        code = ResultCode.SETTINGS_KEY_UNKNOWN
+        text = _describe_extra_keys(cause)
+    elif isinstance(cause, KeyError):
+        text = f'field {cause} is missing'
+    raise SettingsInvalidError(
+        code,
+        f'{path}: {field or "top level"}: {text}',
+    ) from error
+
+
+def _describe_extra_keys(cause: ForbiddenExtraKeysError) -> str:
+    known = [field.name for field in attrs.fields(cause.cl)]
+    hints = []
+    for key in sorted(cause.extra_fields):
+        stem = key
+        for suffix in UNIT_SUFFIXES:
+            stem = stem.removesuffix(suffix)
+        near = [name for name in known if name.startswith(stem)]
+        hints.append(f'unknown key {key!r}')
+        if near:
+            hints.append(f'expected {near[0]!r} (the suffix is the unit)')
+    return ', '.join([*hints, f'known keys: {", ".join(known)}'])
+
+
+def _walk(
+    error: BaseException,
+    prefix: str,
+) -> Iterator[tuple[str, BaseException]]:
+    if not isinstance(error, BaseExceptionGroup):
+        yield prefix, error
+        return
+    for inner in error.exceptions:
+        yield from _walk(inner, _join(prefix, inner))
+
+
+def _join(prefix: str, error: BaseException) -> str:
+    for note in getattr(error, '__notes__', ()):
+        name = getattr(note, 'name', None)
+        if name is None:
+            name = getattr(note, 'index', None)
+        if name is not None:
+            return f'{prefix}.{name}'.lstrip('.')
+    return prefix
+
+
+def _check_numbers(path: Path, settings: Settings) -> None:
+    for section in ('platform', 'limits', 'stop'):
+        for name, number in attrs.asdict(getattr(settings, section)).items():
+            if isinstance(number, (int, float)) and number < 0:
+                raise SettingsInvalidError(
+                    ResultCode.SETTINGS_FIELD_INVALID,
+                    f'{path}: {section}.{name}: found {number}, '
+                    'expected zero or more',
+                )
+
+
+def _check_addresses(path: Path, settings: Settings) -> None:
+    seen: dict[str, str] = {}
+    for field, address in _address_fields(settings):
+        _check_address(path, field, address)
+        if field.startswith('daemon.') and not address.endswith(':0'):
+            earlier = seen.setdefault(address, field)
+            if earlier != field:
+                raise SettingsInvalidError(
+                    ResultCode.SETTINGS_ADDRESS_OVERLAP,
+                    f'{path}: {field}: {address} is taken by {earlier}, '
+                    'expected an address of its own',
+                )
+
+
+def _address_fields(settings: Settings) -> Iterator[tuple[str, str]]:
+    yield 'daemon.caller_address', settings.daemon.caller_address
+    yield 'daemon.peer_address', settings.daemon.peer_address
+    for number, seed in enumerate(settings.daemon.peer_seeds):
+        yield f'platform.peer_seeds.{number}', seed
+    yield 'platform.table_address', settings.platform.table_address
+    yield 'platform.object_address', settings.platform.object_address
+    yield 'platform.host_list_address', settings.platform.host_list_address
+
+
+def _check_address(path: Path, field: str, address: str) -> None:
+    host, _, port = address.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+        in_range = MIN_PORT <= int(port) <= MAX_PORT
+    except ValueError as error:
+        raise _address_error(path, field, address) from error
+    if not in_range:
+        raise _address_error(path, field, address)
+
+
+def _address_error(
+    path: Path,
+    field: str,
+    address: str,
+) -> SettingsInvalidError:
+    return SettingsInvalidError(
+        ResultCode.SETTINGS_ADDRESS_INVALID,
+        f'{path}: {field}: found {address!r}, expected an IP number and '
+        'a port such as 127.0.0.1:7000',
+    )
--- /dev/null
+++ b/yuccavalve/standin/engine.py
@@ -0,0 +1,396 @@
+"""The engine of one host; the first host of a replica answers requests."""
+
+import asyncio
+import uuid
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from yuccavalve.adapters.http import CallFailedError, HttpCaller
+from yuccavalve.standin.const import (
+    CROSS_DOMAIN_SLOWDOWN,
+    HOST_BEAT_S,
+    LOAD_REPORT_LAG_S,
+    PEER_CHECK_S,
+    PEER_TIMEOUT_S,
+    QUEUE_FACTOR,
+    RESUME_LINGER_S,
+)
+from yuccavalve.standin.generation import Generation, answer_words
+
+__all__ = ('EngineFaults', 'EngineStandin', 'EngineStandinOptions')
+
+_CONFLICT = 409
+_OVERLOADED = 429
+_GONE = 410
+_DOWN = 503
+
+
+@attrs.frozen
+class EngineStandinOptions:
+    """What a host is and how its engine behaves.
+
+    Attributes
+    ----------
+    fenced
+        Whether old fencing numbers are refused.
+    load_s
+        Time to load a model.
+    token_s
+        Time between tokens with one stream running.
+    """
+
+    host: str
+    fabric_domain: str
+    availability_zone: str
+    accelerators: int = 8
+    fenced: bool = True
+    load_s: float = 0.5
+    token_s: float = 0.01
+    platform_address: str = ''
+    platform_key: str = ''
+
+
+@attrs.define
+class EngineFaults:
+    """Faults that an admin call switches on.
+
+    Attributes
+    ----------
+    silent_after
+        Streams go silent after this many events; -1 is never.
+    cut_after
+        Streams are cut after this many events; -1 is never.
+    ignore_resume
+        Refuse to resume streams.
+    slowdown
+        Factor on the time between tokens.
+    """
+
+    silent_after: int = -1
+    cut_after: int = -1
+    refuse: bool = False
+    ignore_resume: bool = False
+    slowdown: float = 1
+    mute_status: bool = False
+
+
+@attrs.define
+class _Assignment:
+    fence: int = 0
+    replica: str = ''
+    model: str = ''
+    rank: int = 0
+    slots: int = 1
+    peer_addresses: tuple[str, ...] = ()
+
+
+class EngineStandin:
+    """Loads a model on order and streams words."""
+
+    def __init__(self, options: EngineStandinOptions) -> None:
+        """Start with no model."""
+        self.options = options
+        self.faults = EngineFaults()
+        self.boot = uuid.uuid4().hex
+        self._assignment = _Assignment()
+        self._ready = False
+        self._complete = True
+        self._cross_domain = False
+        self._loading: asyncio.Task[None] | None = None
+        self._generations: dict[str, Generation] = {}
+        self._runs: list[Generation] = []
+        self._running = 0
+        self._queued = 0
+        self._slot_free = asyncio.Condition()
+        self._reported = (0, 0)
+        self._caller = HttpCaller(PEER_TIMEOUT_S, options.platform_key)
+        self.application = Starlette(
+            routes=[
+                Route(path, endpoint, methods=['POST'])
+                for path, endpoint in self._endpoints().items()
+            ],
+        )
+
+    async def async_run(self, address: str) -> None:
+        """Beat to the platform, check peers and refresh the load report."""
+        await asyncio.gather(
+            self._async_beat(address),
+            self._async_check_peers(),
+            self._async_report_load(),
+        )
+
+    def _endpoints(self) -> dict[str, Any]:
+        return {
+            '/v1/status': self._async_status,
+            '/v1/orders': self._async_order,
+            '/v1/chat/completions': self._async_complete,
+            '/v1/resume': self._async_resume,
+            '/v1/cancel': self._async_cancel,
+            '/admin/faults': self._async_faults,
+            '/admin/runs': self._async_runs,
+        }
+
+    async def _async_status(self, request: Request) -> Response:
+        if self.faults.mute_status:
+            await asyncio.sleep(PEER_TIMEOUT_S * 10)
+        assignment = self._assignment
+        running, queued = self._reported
+        return JSONResponse(
+            {
+                'host': self.options.host,
+                'boot': self.boot,
+                'fabric_domain': self.options.fabric_domain,
+                'fenced': self.options.fenced,
+                'fence': assignment.fence,
+                'replica': assignment.replica,
+                'rank': assignment.rank,
+                'model': assignment.model,
+                'ready': self._ready and self._complete,
+                'load': {
+                    'running': running,
+                    'queued': queued,
+                    'slots': assignment.slots,
+                    'age_s': LOAD_REPORT_LAG_S,
+                },
+            },
+        )
+
+    async def _async_order(self, request: Request) -> Response:
+        order = await request.json()
+        old = order['fence'] < self._assignment.fence
+        if old and self.options.fenced:
+            return JSONResponse({}, _CONFLICT)
+        self._stop_all()
+        if order['kind'] == 'release':
+            self._assignment = _Assignment(fence=order['fence'])
+            return JSONResponse({})
+        self._assignment = _Assignment(
+            order['fence'],
+            order['replica'],
+            order['model'],
+            order['rank'],
+            order['slots'],
+            tuple(order['peer_addresses']),
+        )
+        self._loading = asyncio.create_task(self._async_load())
+        return JSONResponse({})
+
+    async def _async_complete(self, request: Request) -> Response:
+        body = await request.json()
+        refusal = self._refuse(request)
+        if refusal is not None:
+            return refusal
+        generation = Generation(
+            request.headers.get('x-request-id', uuid.uuid4().hex),
+            request.headers.get('idempotency-key', ''),
+            body['messages'][-1]['content'],
+        )
+        self._generations[generation.request_id] = generation
+        self._runs.append(generation)
+        tokens = body.get('max_tokens', 16)
+        asyncio.create_task(self._async_generate(generation, tokens))
+        headers = self._answer_headers()
+        if body.get('stream'):
+            return self._stream(generation, 0, headers)
+        await generation.async_wait_end()
+        if generation.cancelled:
+            return JSONResponse({'started': True}, _GONE)
+        answer = generation.whole_answer(self._assignment.model)
+        return JSONResponse(answer, headers=headers)
+
+    async def _async_resume(self, request: Request) -> Response:
+        body = await request.json()
+        generation = self._generations.get(body['request_id'])
+        if generation is None or self.faults.ignore_resume:
+            return JSONResponse({}, _GONE)
+        headers = self._answer_headers()
+        return self._stream(generation, body['offset'], headers)
+
+    async def _async_cancel(self, request: Request) -> Response:
+        body = await request.json()
+        generation = self._generations.get(body['request_id'])
+        if generation is not None and not generation.finished:
+            generation.cancel()
+        return JSONResponse({})
+
+    async def _async_faults(self, request: Request) -> Response:
+        for name, setting in (await request.json()).items():
+            setattr(self.faults, name, setting)
+        return JSONResponse(attrs.asdict(self.faults))
+
+    async def _async_runs(self, request: Request) -> Response:
+        return JSONResponse(
+            [
+                {
+                    'request_id': run.request_id,
+                    'key': run.key,
+                    'events': len(run.events),
+                    'finished': run.finished,
+                    'cancelled': run.cancelled,
+                }
+                for run in self._runs
+            ],
+        )
+
+    def _answer_headers(self) -> dict[str, str]:
+        return {'x-incarnation': str(self._assignment.fence)}
+
+    def _refuse(self, request: Request) -> Response | None:
+        assignment = self._assignment
+        expected = request.headers.get('x-incarnation')
+        if expected is not None and int(expected) != assignment.fence:
+            return JSONResponse({'started': False}, _CONFLICT)
+        leads = self._ready and self._complete and assignment.rank == 0
+        if self.faults.refuse or not leads:
+            return JSONResponse({'started': False}, _DOWN)
+        if self._queued >= assignment.slots * QUEUE_FACTOR:
+            return JSONResponse({'started': False}, _OVERLOADED)
+        return None
+
+    def _stream(
+        self,
+        generation: Generation,
+        offset: int,
+        headers: dict[str, str],
+    ) -> Response:
+        return StreamingResponse(
+            self._async_events(generation, offset),
+            media_type='text/event-stream',
+            headers=headers,
+        )
+
+    async def _async_events(
+        self,
+        generation: Generation,
+        offset: int,
+    ) -> AsyncIterator[bytes]:
+        generation.readers += 1
+        position = offset
+        try:
+            async for event in generation.async_follow(offset):
+                if position == self.faults.silent_after:
+                    await asyncio.Event().wait()
+                if position == self.faults.cut_after:
+                    raise ConnectionResetError('fault: cut')
+                yield event
+                position += 1
+        finally:
+            generation.readers -= 1
+            asyncio.get_running_loop().call_later(
+                RESUME_LINGER_S,
+                self._cancel_unread,
+                generation,
+            )
+        if generation.cancelled:
+            raise ConnectionResetError('generation cancelled')
+
+    def _cancel_unread(self, generation: Generation) -> None:
+        if generation.readers == 0 and not generation.finished:
+            generation.cancel()
+
+    async def _async_generate(
+        self,
+        generation: Generation,
+        tokens: int,
+    ) -> None:
+        await self._async_take_slot()
+        try:
+            for word in answer_words(generation.prompt, tokens):
+                await asyncio.sleep(self._token_s())
+                if generation.cancelled:
+                    return
+                generation.append_word(word)
+            generation.finish()
+        finally:
+            await self._async_give_slot()
+
+    async def _async_take_slot(self) -> None:
+        self._queued += 1
+        async with self._slot_free:
+            await self._slot_free.wait_for(
+                lambda: self._running < self._assignment.slots,
+            )
+        self._queued -= 1
+        self._running += 1
+
+    async def _async_give_slot(self) -> None:
+        self._running -= 1
+        async with self._slot_free:
+            self._slot_free.notify()
+
+    def _token_s(self) -> float:
+        share = self._running / max(1, self._assignment.slots)
+        fabric = CROSS_DOMAIN_SLOWDOWN if self._cross_domain else 1
+        return self.options.token_s * (1 + share) * fabric * self.faults.slowdown
+
+    async def _async_load(self) -> None:
+        self._ready = False
+        self._complete = True
+        await asyncio.sleep(self.options.load_s)
+        self._ready = True
+
+    def _stop_all(self) -> None:
+        self._ready = False
+        if self._loading is not None:
+            self._loading.cancel()
+        for generation in self._generations.values():
+            if not generation.finished:
+                generation.cancel()
+        self._generations = {}
+
+    async def _async_check_peers(self) -> None:
+        while True:
+            await asyncio.sleep(PEER_CHECK_S)
+            assignment = self._assignment
+            if self._ready and assignment.rank == 0:
+                present = await self._async_peers_present(assignment)
+                if assignment is self._assignment and not present:
+                    self._complete = False
+                    self._stop_all()
+
+    async def _async_peers_present(self, assignment: _Assignment) -> bool:
+        try:
+            replies = await asyncio.gather(
+                *(
+                    self._caller.async_post(address, '/v1/status', {})
+                    for address in assignment.peer_addresses[1:]
+                ),
+            )
+        except CallFailedError:
+            return False
+        domains = {reply.body['fabric_domain'] for reply in replies}
+        self._cross_domain = bool(domains - {self.options.fabric_domain})
+        return all(
+            reply.body['fence'] == assignment.fence for reply in replies
+        )
+
+    async def _async_beat(self, address: str) -> None:
+        options = self.options
+        listing = {
+            'host': options.host,
+            'address': address,
+            'fabric_domain': options.fabric_domain,
+            'availability_zone': options.availability_zone,
+            'accelerators': options.accelerators,
+        }
+        while options.platform_address:
+            try:
+                await self._caller.async_post(
+                    options.platform_address,
+                    '/hosts/beat',
+                    listing,
+                )
+            except CallFailedError:
+                pass  # noqa: WPS420 the next beat tries again
+            await asyncio.sleep(HOST_BEAT_S)
+
+    async def _async_report_load(self) -> None:
+        while True:
+            self._reported = (self._running, self._queued)
+            await asyncio.sleep(LOAD_REPORT_LAG_S)
--- /dev/null
+++ b/yuccavalve/standin/generation.py
@@ -0,0 +1,90 @@
+"""One generation of the engine stand-in, apart from its connections."""
+
+import asyncio
+import hashlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+from yuccavalve.standin.const import EVENT_END
+
+__all__ = ('Generation', 'answer_words', 'prompt_digest')
+
+_DIGEST_LENGTH = 8
+
+
+def prompt_digest(prompt: str) -> str:
+    """Return the mark that each word of a prompt's answer carries."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:_DIGEST_LENGTH]
+
+
+def answer_words(prompt: str, tokens: int) -> list[str]:
+    """Return the words of the whole answer to a prompt."""
+    mark = prompt_digest(prompt)
+    return [f'{mark}-{index}' for index in range(tokens)]
+
+
+class Generation:
+    """Events of one request, kept so that a stream can resume."""
+
+    def __init__(self, request_id: str, key: str, prompt: str) -> None:
+        """Start with no events."""
+        self.request_id = request_id
+        self.key = key
+        self.prompt = prompt
+        self.events: list[bytes] = []
+        self.finished = False
+        self.cancelled = False
+        self.readers = 0
+        self._changed = asyncio.Event()
+
+    def append_word(self, word: str) -> None:
+        """Add one event."""
+        choice = {'index': 0, 'delta': {'content': f'{word} '}}
+        body = json.dumps({'id': self.request_id, 'choices': [choice]})
+        self.events.append(f'data: {body}\n\n'.encode())
+        self._wake()
+
+    def finish(self) -> None:
+        """Add the end mark."""
+        self.events.append(EVENT_END)
+        self.finished = True
+        self._wake()
+
+    def cancel(self) -> None:
+        """End without an end mark."""
+        self.cancelled = True
+        self._wake()
+
+    def whole_answer(self, model: str) -> dict[str, Any]:
+        """Return the answer for a caller that wants no stream."""
+        words = answer_words(self.prompt, len(self.events) - 1)
+        text = ' '.join(words)
+        message = {'role': 'assistant', 'content': text}
+        return {
+            'id': self.request_id,
+            'model': model,
+            'choices': [{'index': 0, 'message': message}],
+        }
+
+    async def async_wait_end(self) -> None:
+        """Wait until the generation ends."""
+        while not (self.finished or self.cancelled):
+            await self._async_wait_change()
+
+    async def async_follow(self, offset: int) -> AsyncIterator[bytes]:
+        """Yield events from an offset until the end."""
+        while True:
+            while offset < len(self.events):
+                yield self.events[offset]
+                offset += 1
+            if self.finished or self.cancelled:
+                return
+            await self._async_wait_change()
+
+    async def _async_wait_change(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+    def _wake(self) -> None:
+        self._changed.set()
--- /dev/null
+++ b/yuccavalve/standin/plain.py
@@ -0,0 +1,58 @@
+"""A plain service that counts how often each call ran."""
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+__all__ = ('PlainStandin',)
+
+
+class PlainStandin:
+    """Echoes calls; an admin path tells the runs of each key."""
+
+    def __init__(self, name: str) -> None:
+        """Start with no runs."""
+        self._name = name
+        self._runs: Counter[str] = Counter()
+        self._delay_s: float = 0
+        self.application = Starlette(
+            routes=[
+                Route('/admin/runs', self._async_runs, methods=['POST']),
+                Route('/admin/faults', self._async_faults, methods=['POST']),
+                Route(
+                    '/{path:path}',
+                    self._async_echo,
+                    methods=['GET', 'POST', 'PUT', 'DELETE'],
+                ),
+            ],
+        )
+
+    async def async_run(self, address: str) -> None:
+        """Wait; the service has no background work."""
+        await asyncio.Event().wait()
+
+    async def _async_echo(self, request: Request) -> Response:
+        body = await request.body()
+        self._runs[request.headers.get('idempotency-key', '')] += 1
+        await asyncio.sleep(self._delay_s)
+        return JSONResponse(
+            {
+                'service': self._name,
+                'method': request.method,
+                'path': request.url.path,
+                'echo': body.decode(errors='replace'),
+            },
+        )
+
+    async def _async_runs(self, request: Request) -> Response:
+        return JSONResponse(dict(self._runs))
+
+    async def _async_faults(self, request: Request) -> Response:
+        faults: dict[str, Any] = await request.json()
+        self._delay_s = faults.get('delay_s', 0)
+        return JSONResponse(faults)
--- /dev/null
+++ b/yuccavalve/standin/platform.py
@@ -0,0 +1,247 @@
+"""The platform: table service, object store and host list in one process."""
+
+import asyncio
+import hmac
+import time
+from typing import Any
+
+import attrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from yuccavalve.standin.const import (
+    HOST_LIST_LAG_S,
+    READS_PER_S,
+    WRITES_PER_S,
+)
+
+__all__ = ('PlatformFaults', 'PlatformStandin')
+
+_OK = 200
+_UNAUTHENTICATED = 401
+_MISSING = 404
+_CONFLICT = 409
+_OVERLOADED = 429
+_DOWN = 503
+
+
+@attrs.define
+class PlatformFaults:
+    """Faults that an admin call switches on.
+
+    Attributes
+    ----------
+    lose_answers
+        How many of the next writes apply without an answer.
+    lose_prefix
+        Only writes that touch a key with this prefix lose their answers.
+    """
+
+    table_down: bool = False
+    objects_down: bool = False
+    hosts_down: bool = False
+    slow_s: float = 0
+    lose_answers: int = 0
+    lose_prefix: str = ''
+
+
+@attrs.define
+class _Meter:
+    """Counts calls and refuses those over a rate."""
+
+    per_s: int
+    total: int = 0
+    peak_per_s: int = 0
+    _second: int = 0
+    _in_second: int = 0
+
+    def admit(self) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._in_second = 0
+        self.total += 1
+        self._in_second += 1
+        self.peak_per_s = max(self.peak_per_s, self._in_second)
+        return self._in_second <= self.per_s
+
+
+@attrs.define
+class _StoredRow:
+    version: int
+    fields: dict[str, Any]
+
+
+class PlatformStandin:
+    """Rows, objects and hosts in memory."""
+
+    def __init__(self, key: str = '', lag_s: float = HOST_LIST_LAG_S) -> None:
+        """Start empty; callers carry the key when one is set."""
+        self.faults = PlatformFaults()
+        self._key = key
+        self._lag_s = lag_s
+        self._rows: dict[str, _StoredRow] = {}
+        self._row_counter = 0
+        self._objects: dict[str, str] = {}
+        self._hosts: dict[str, tuple[float, dict[str, Any]]] = {}
+        self._writes = _Meter(WRITES_PER_S)
+        self._reads = _Meter(READS_PER_S)
+        self.application = Starlette(
+            routes=[
+                Route(path, self._guard(endpoint), methods=['POST'])
+                for path, endpoint in self._endpoints().items()
+            ],
+        )
+
+    async def async_run(self, address: str) -> None:
+        """Wait; the platform has no background work."""
+        await asyncio.Event().wait()
+
+    def _endpoints(self) -> dict[str, Any]:
+        return {
+            '/table/read': self._async_read,
+            '/table/scan': self._async_scan,
+            '/table/transact': self._async_transact,
+            '/objects/put': self._async_put,
+            '/objects/get': self._async_get,
+            '/hosts/list': self._async_hosts,
+            '/hosts/beat': self._async_beat,
+            '/hosts/state': self._async_state,
+            '/admin/faults': self._async_faults,
+            '/admin/counts': self._async_counts,
+        }
+
+    def _guard(self, endpoint: Any) -> Any:
+        async def guarded(request: Request) -> Response:  # noqa: WPS430
+            given = request.headers.get('authorization', '')
+            if not hmac.compare_digest(given, f'Bearer {self._key}'):
+                return JSONResponse({}, _UNAUTHENTICATED)
+            if not request.url.path.startswith('/admin'):
+                await asyncio.sleep(self.faults.slow_s)
+            return await endpoint(await request.json())
+
+        return guarded
+
+    async def _async_read(self, body: Any) -> Response:
+        refusal = self._refuse_read()
+        if refusal is not None:
+            return refusal
+        return self._reply_rows([key for key in body['keys']])
+
+    async def _async_scan(self, body: Any) -> Response:
+        refusal = self._refuse_read()
+        if refusal is not None:
+            return refusal
+        prefix = body['prefix']
+        return self._reply_rows(
+            [key for key in sorted(self._rows) if key.startswith(prefix)],
+        )
+
+    async def _async_transact(self, body: Any) -> Response:
+        if self.faults.table_down:
+            return JSONResponse({}, _DOWN)
+        if not self._writes.admit():
+            return JSONResponse({}, _OVERLOADED, {'retry-after': '1'})
+        failed = [
+            condition['key']
+            for condition in body['conditions']
+            if self._row_version(condition['key']) != condition['version']
+        ]
+        if failed:
+            return JSONResponse({'keys': failed}, _CONFLICT)
+        for write in body['writes']:
+            self._apply(write['key'], write['fields'])
+        if self._loses_answer(body):
+            await asyncio.sleep(0)
+            return JSONResponse({}, _DOWN)
+        return JSONResponse({})
+
+    async def _async_put(self, body: Any) -> Response:
+        if self.faults.objects_down:
+            return JSONResponse({}, _DOWN)
+        self._objects[body['name']] = body['body']
+        return JSONResponse({})
+
+    async def _async_get(self, body: Any) -> Response:
+        if self.faults.objects_down:
+            return JSONResponse({}, _DOWN)
+        found = self._objects.get(body['name'])
+        if found is None:
+            return JSONResponse({}, _MISSING)
+        return JSONResponse({'body': found})
+
+    async def _async_hosts(self, body: Any) -> Response:
+        if self.faults.hosts_down:
+            return JSONResponse({}, _DOWN)
+        now = time.monotonic()
+        fresh = [
+            listing
+            for beat_at, listing in self._hosts.values()
+            if now - beat_at < self._lag_s
+        ]
+        return JSONResponse({'hosts': fresh})
+
+    async def _async_beat(self, body: Any) -> Response:
+        known = self._hosts.get(body['host'])
+        state = known[1]['state'] if known else 'live'
+        listing = {**body, 'state': state}
+        self._hosts[body['host']] = (time.monotonic(), listing)
+        return JSONResponse({})
+
+    async def _async_state(self, body: Any) -> Response:
+        self._hosts[body['host']][1]['state'] = body['state']
+        return JSONResponse({})
+
+    async def _async_faults(self, body: Any) -> Response:
+        for name, setting in body.items():
+            setattr(self.faults, name, setting)
+        return JSONResponse(attrs.asdict(self.faults))
+
+    async def _async_counts(self, body: Any) -> Response:
+        return JSONResponse(
+            {
+                'reads': self._reads.total,
+                'writes': self._writes.total,
+                'peak_reads_per_s': self._reads.peak_per_s,
+                'peak_writes_per_s': self._writes.peak_per_s,
+            },
+        )
+
+    def _refuse_read(self) -> Response | None:
+        if self.faults.table_down:
+            return JSONResponse({}, _DOWN)
+        if not self._reads.admit():
+            return JSONResponse({}, _OVERLOADED, {'retry-after': '1'})
+        return None
+
+    def _reply_rows(self, keys: list[str]) -> Response:
+        rows = [
+            {'key': key, **attrs.asdict(self._rows[key])}
+            for key in keys
+            if key in self._rows
+        ]
+        return JSONResponse({'rows': rows})
+
+    def _row_version(self, key: str) -> int | None:
+        row = self._rows.get(key)
+        return None if row is None else row.version
+
+    def _apply(self, key: str, fields: dict[str, Any] | None) -> None:
+        if fields is None:
+            self._rows.pop(key, None)
+            return
+        self._row_counter += 1
+        self._rows[key] = _StoredRow(self._row_counter, fields)
+
+    def _loses_answer(self, body: Any) -> bool:
+        faults = self.faults
+        touched = any(
+            write['key'].startswith(faults.lose_prefix)
+            for write in body['writes']
+        )
+        if faults.lose_answers <= 0 or not touched:
+            return False
+        faults.lose_answers -= 1
+        return True
