--- /dev/null
+++ b/script/tools/bench.py
@@ -0,0 +1,47 @@
+"""Run one bench and write its figures as JSON."""
+
+import argparse
+import asyncio
+import importlib
+import json
+import platform
+import sys
+from pathlib import Path
+
+_BENCHES = {
+    'relay': 'processor time a token against a splice',
+}
+
+
+def main() -> int:
+    """Run the named bench."""
+    parser = argparse.ArgumentParser(prog='script/bench')
+    parser.add_argument('name', nargs='?')
+    parser.add_argument('--list', action='store_true')
+    parser.add_argument('--json', type=Path)
+    parser.add_argument('--seed', type=int, default=1)
+    arguments = parser.parse_args()
+    if arguments.list or arguments.name not in _BENCHES:
+        for name, text in _BENCHES.items():
+            print(f'{name:12} {text}')
+        return int(not arguments.list)
+    module = importlib.import_module(
+        f'script.tools.benches.{arguments.name}',
+    )
+    run = getattr(module, f'async_{arguments.name}')
+    figures = asyncio.run(run(arguments.seed))
+    document = {
+        'bench': arguments.name,
+        'seed': arguments.seed,
+        'python': platform.python_version(),
+        **figures,
+    }
+    text = json.dumps(document, indent=2)
+    if arguments.json:
+        arguments.json.write_text(text + '\n')
+    print(text)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/script/tools/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benches; ``script/bench --list`` names them."""
--- /dev/null
+++ b/script/tools/benches/relay.py
@@ -0,0 +1,240 @@
+"""What relaying a token costs, against a splice and a bare pass-through."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from script.tools.cluster import Cluster, DaemonOptions
+from yuccavalve.access import key_digest
+
+__all__ = ('async_relay',)
+
+_PARTS = 'script.tools.benches.relay_parts'
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+_WARM_S = 2.0
+_US = 1000000
+_CASES = ((20, 0.02), (100, 0.02), (720, 0.036))
+_HALF_STREAMS = 360
+_FULL_INTERVAL_S = 0.036
+_PROBES = 150
+
+
+@attrs.define
+class _Part:
+    popen: subprocess.Popen[str]
+    address: str = ''
+
+    def cpu_s(self) -> float:
+        return process_cpu_s(self.popen.pid)
+
+
+def process_cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+class _Bench:
+    def __init__(self, seed: int, run_s: float) -> None:
+        self.seed = seed
+        self.run_s = run_s
+        self.parts: list[_Part] = []
+        self.cluster = Cluster()
+
+    def start(self, role: str, *arguments: str) -> _Part:
+        command = [sys.executable, '-m', _PARTS, role, *arguments]
+        popen = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        part = _Part(popen)
+        self.parts.append(part)
+        return part
+
+    async def async_start_server(self, role: str, *arguments: str) -> _Part:
+        part = self.start(role, *arguments)
+        line = await asyncio.to_thread(part.popen.stdout.readline)
+        part.address = json.loads(line)['address']
+        return part
+
+    async def async_callers(
+        self,
+        target: str,
+        streams: int,
+        interval_s: float,
+        *more: str,
+    ) -> dict[str, Any]:
+        """Run callers to their end and return their figures."""
+        part = self.start(
+            'callers',
+            '--target',
+            target,
+            '--streams',
+            str(streams),
+            '--interval-s',
+            str(interval_s),
+            '--run-s',
+            str(self.run_s + _WARM_S),
+            *more,
+        )
+        line = await asyncio.to_thread(part.popen.stdout.readline)
+        part.popen.wait()
+        return json.loads(line)
+
+    async def async_measure(
+        self,
+        middle: Any,
+        target: str,
+        streams: int,
+        interval_s: float,
+    ) -> dict[str, Any]:
+        """Measure the processor time a token of one process."""
+        callers = asyncio.create_task(
+            self.async_callers(target, streams, interval_s),
+        )
+        await asyncio.sleep(_WARM_S + 1)
+        cpu_s = middle.cpu_s()
+        began_s = time.monotonic()
+        await asyncio.sleep(self.run_s - 1.5)
+        used_s = middle.cpu_s() - cpu_s
+        took_s = time.monotonic() - began_s
+        figures = await callers
+        rate = figures['tokens'] / self.run_s
+        figures['tokens_per_s'] = round(rate)
+        figures['core_share'] = round(used_s / took_s, 3)
+        figures['us_per_token'] = round(used_s / took_s / rate * _US, 2)
+        return figures
+
+    async def async_start_daemon(self, merge_delay_ms: int) -> Any:
+        cluster = self.cluster
+        await cluster.async_start_platform(60)
+        engine = await self.async_start_server(
+            'engine',
+            '--platform',
+            cluster.processes['platform'].address,
+            '--key',
+            'platform-key',
+        )
+        options = DaemonOptions(merge_delay_ms=merge_delay_ms)
+        daemon = await cluster.async_start_daemon('entry', options)
+        edits = (
+            ('workspaces', 'bench', {'key_digest': key_digest('bench-key')}),
+            (
+                'groups',
+                'pool',
+                {'model': 'm', 'hosts_per_replica': 1, 'slots': 4096},
+            ),
+            ('services', 'pool', {'kind': 'model', 'group': 'pool'}),
+            ('presets', 'all', {'shares': [{'group': 'pool', 'replicas': 1}]}),
+            ('preset_in_force', 'all', None),
+        )
+        for section, name, entry in edits:
+            await cluster.async_edit('entry', section, name, entry)
+        await cluster.async_until(
+            'entry',
+            lambda status: any(
+                replica['granted'] for replica in status['replicas']
+            ),
+        )
+        return engine, _Part(daemon.popen, daemon.address)
+
+    async def async_first_token(self, daemon: str, engine: str) -> dict[str, Any]:
+        """Measure the added time to the first token at half load."""
+        load = asyncio.create_task(
+            self.async_callers(daemon, _HALF_STREAMS, _FULL_INTERVAL_S),
+        )
+        await asyncio.sleep(_WARM_S)
+        probe = ('--in-turn', '--tokens', '1')
+        through = await self.async_callers(daemon, _PROBES, 0.001, *probe)
+        direct = await self.async_callers(engine, _PROBES, 0.001, *probe)
+        await load
+        return {
+            'through_p95_ms': through['first_p95_ms'],
+            'direct_p95_ms': direct['first_p95_ms'],
+            'added_p95_ms': round(
+                through['first_p95_ms'] - direct['first_p95_ms'],
+                3,
+            ),
+        }
+
+    async def async_close(self) -> None:
+        for part in self.parts:
+            if part.popen.poll() is None:
+                part.popen.kill()
+                part.popen.wait()
+        await self.cluster.async_close()
+
+
+async def async_relay(seed: int, run_s: float = 8) -> dict[str, Any]:
+    """Run all cases and return the figures."""
+    bench = _Bench(seed, run_s)
+    merge_delay_ms = 40
+    try:
+        engine, daemon = await bench.async_start_daemon(merge_delay_ms)
+        splice = await bench.async_start_server(
+            'splice',
+            '--target',
+            engine.address,
+        )
+        bare = await bench.async_start_server(
+            'bare',
+            '--target',
+            engine.address,
+        )
+        cases = {}
+        for streams, interval_s in _CASES:
+            cases[str(streams)] = {
+                name: await bench.async_measure(
+                    part,
+                    part.address,
+                    streams,
+                    interval_s,
+                )
+                for name, part in (
+                    ('splice', splice),
+                    ('bare', bare),
+                    ('daemon', daemon),
+                )
+            }
+            print(streams, json.dumps(cases[str(streams)]), file=sys.stderr)
+        first = await bench.async_first_token(daemon.address, engine.address)
+    finally:
+        await bench.async_close()
+    return _summary(cases, first, merge_delay_ms, run_s)
+
+
+def _summary(
+    cases: dict[str, Any],
+    first: dict[str, Any],
+    merge_delay_ms: int,
+    run_s: float,
+) -> dict[str, Any]:
+    ratios = {
+        streams: round(
+            case['daemon']['us_per_token'] / case['splice']['us_per_token'],
+            3,
+        )
+        for streams, case in cases.items()
+    }
+    bare = {
+        streams: round(
+            case['daemon']['us_per_token'] / case['bare']['us_per_token'],
+            3,
+        )
+        for streams, case in cases.items()
+    }
+    full = cases['720']['daemon']
+    return {
+        'tokens_per_core': round(full['tokens_per_s'] / full['core_share']),
+        'cpu_ratio_to_splice': ratios,
+        'cpu_ratio_to_bare': bare,
+        'added_first_token_p95_ms': first['added_p95_ms'],
+        'between_token_p95_ms': full['gap_p95_ms'],
+        'first_token': first,
+        'cases': cases,
+        'settings': {'merge_delay_ms': merge_delay_ms, 'run_s': run_s},
+    }
