--- a/script/tools/prove/configuration.py
+++ b/script/tools/prove/configuration.py
@@ -5,12 +5,17 @@
 import uuid
 from collections.abc import Callable
 from random import Random
+from typing import Any
 
 import attrs
 
 from tests.support.fakes import FakeTable
 from yuccavalve.clock import LogicalClock
-from yuccavalve.configuration import AdoptionState, ConfigurationStore
+from yuccavalve.configuration import (
+    AdoptionState,
+    Configuration,
+    ConfigurationStore,
+)
 from yuccavalve.configuration.commit import Change
 from yuccavalve.const import CONFIG_BOUND_S
 from yuccavalve.exceptions import YuccavalveError
@@ -146,7 +151,7 @@
             configuration = peer.adoption.configuration
             self._later(lambda: answer(reply, configuration))
 
-        def answer(reply, configuration) -> None:  # type: ignore[no-untyped-def]
+        def answer(reply: Any, configuration: Configuration) -> None:
             if puller.paused or not puller.alive:
                 return
             wanted = puller.state.read(reply, sent_at_s)
@@ -182,9 +187,7 @@
         if daemon.store_cut or self._table.down:
             return
         self._table.lose = self.random.choice((0, 0, 0, 1, 2))
-        change = Change(
-            uuid.UUID(int=self.random.getrandbits(128)).hex, 'o', '', _same
-        )
+        change = Change(self._change_id(), 'o', '', _same)
         try:
             committed = await self._store.async_commit(change)
         except YuccavalveError:
@@ -195,6 +198,9 @@
         if self._accept_at_commit:
             self._accepted_at_s[committed.version] = self.clock.now_s()
 
+    def _change_id(self) -> str:
+        return uuid.UUID(int=self.random.getrandbits(128)).hex
+
     async def _async_electorate(self) -> None:
         if not self._running():
             return
@@ -221,7 +227,7 @@
         committed = await self._store.async_commit_electorate(
             adoption.configuration,
             proposed,
-            uuid.UUID(int=self.random.getrandbits(128)).hex,
+            self._change_id(),
         )
         if committed is not None:
             adoption.adopt(committed)
--- a/yuccavalve/requests/pipeline.py
+++ b/yuccavalve/requests/pipeline.py
@@ -21,6 +21,8 @@
 
 __all__ = ('RequestPipeline',)
 
+_DISCARD_BYTES = 33554432
+
 
 class RequestPipeline:
     """An ASGI application for callers' requests."""
@@ -128,6 +130,8 @@
     async def _async_end(self, exchange: Exchange, outcome: Outcome) -> None:
         """Send the final answer, at once."""
         exchange.outcome = outcome
+        if outcome.code is ResultCode.CALLER_LEFT:
+            return
         try:
             if exchange.responded:
                 await async_end_events(
@@ -137,6 +141,8 @@
             else:
                 entries = self._entries(outcome)
                 await async_respond_outcome(exchange, outcome, entries)
+                if outcome.code is ResultCode.BODY_TOO_LARGE:
+                    await _async_discard_body(exchange)
         except (OSError, RuntimeError) as error:
             logging.info(
                 'request=%s caller left: %s',
@@ -152,6 +158,21 @@
         return self._other_entries() if named else ()
 
 
+async def _async_discard_body(exchange: Exchange) -> None:
+    """Read what the caller still sends, so that it can read its answer.
+
+    A connection that is closed with bytes unread is reset, and the answer
+    is lost with it.
+    """
+    size_bytes = 0
+    more = True
+    while more and size_bytes < _DISCARD_BYTES:
+        message = await exchange.receive()
+        size_bytes += len(message.get('body', b''))
+        more = message.get('more_body', False)
+    await async_end_events(exchange)
+
+
 async def _async_watch(exchange: Exchange, task: asyncio.Task[None]) -> None:
     """Cancel a request whose caller left, unless it runs at most once.
 
--- a/yuccavalve/requests/respond.py
+++ b/yuccavalve/requests/respond.py
@@ -61,8 +61,10 @@
     content_type: str,
     headers: Mapping[str, str] | None = None,
     status: int = _OK,
+    *,
+    hold: bool = False,
 ) -> None:
-    """Send a whole answer."""
+    """Send a whole answer; ``hold`` keeps the connection for more reading."""
     code = exchange.outcome.code if exchange.outcome else ResultCode.ANSWERED
     exchange.responded = True
     await exchange.send(
@@ -80,7 +82,9 @@
             ),
         },
     )
-    await exchange.send({'type': 'http.response.body', 'body': body})
+    await exchange.send(
+        {'type': 'http.response.body', 'body': body, 'more_body': hold},
+    )
 
 
 async def async_respond_outcome(
@@ -100,6 +104,7 @@
         CONTENT_JSON,
         headers,
         http_status(outcome.code),
+        hold=outcome.code is ResultCode.BODY_TOO_LARGE,
     )
 
 
--- a/yuccavalve/serving.py
+++ b/yuccavalve/serving.py
@@ -19,6 +19,8 @@
 _MAX_HEADER_BYTES = 32768
 _KEEP_ALIVE_S = 30
 _START_POLL_S = 0.01
+_STALLED_MS = 60000
+_SEND_BYTES = 131072
 
 
 class BoundedHeaderProtocol(HttpToolsProtocol):
@@ -120,6 +122,13 @@
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # A caller that stops reading for good must not hold its connection.
+    listener.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _STALLED_MS,
+    )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BYTES)
     listener.bind((host, int(port)))
     listener.setblocking(False)
     return listener
--- a/yuccavalve/standin/engine.py
+++ b/yuccavalve/standin/engine.py
@@ -275,10 +275,8 @@
         position = offset
         try:
             async for event in generation.async_follow(offset):
-                if position == self.faults.silent_after:
-                    await asyncio.Event().wait()
-                if position == self.faults.cut_after:
-                    raise ConnectionResetError('fault: cut')
+                if offset == 0:
+                    await self._async_fail_at(position)
                 yield event
                 position += 1
         finally:
@@ -291,6 +289,13 @@
         if generation.cancelled:
             raise ConnectionResetError('generation cancelled')
 
+    async def _async_fail_at(self, position: int) -> None:
+        """Go silent or cut a first stream; resumed ones go on."""
+        if position == self.faults.silent_after:
+            await asyncio.Event().wait()
+        if position == self.faults.cut_after:
+            raise ConnectionResetError('fault: cut')
+
     def _cancel_unread(self, generation: Generation) -> None:
         if generation.readers == 0 and not generation.finished:
             generation.cancel()
