Prove configuration, replicas and planned stops over real processes

Planner: a trace format with a generator, a replay through the planner's own code and a greedy baseline.

--- a/script/tools/bench.py
+++ b/script/tools/bench.py
@@ -10,6 +10,7 @@
 
 _BENCHES = {
     'relay': 'processor time a token against a splice',
+    'planning': 'downtime and stranded hosts against greedy first fit',
 }
 
 
--- /dev/null
+++ b/script/tools/benches/planning.py
@@ -0,0 +1,138 @@
+"""Group downtime and stranded hosts, against greedy first fit."""
+
+import time
+from random import Random
+from typing import Any
+
+import attrs
+
+from yuccavalve.configuration import Group
+from yuccavalve.replicas import PlanHost, PlanInput, SpanPlanner
+from yuccavalve.replicas.baseline import GreedyPlanner
+from yuccavalve.replicas.models import Planner
+from yuccavalve.replicas.traces import (
+    Replay,
+    ReplayFigures,
+    TraceHead,
+    day_trace,
+)
+
+__all__ = ('async_planning', 'head_of')
+
+_SETTLE_S = 7200.0
+_WEIGHTS = {'downtime_first': (1.0, 0.01), 'stranded_first': (0.2, 0.1)}
+
+
+@attrs.frozen
+class _Case:
+    name: str
+    hosts: int
+    domain_hosts: int
+    span: int
+    replicas: int
+    failures: int
+    restarts: int
+    dark_domain: bool = False
+    preset: int | None = None
+
+
+_CASES = (
+    _Case('today', 65, 22, 4, 15, 1, 16),
+    _Case('today, domain dark', 65, 22, 4, 15, 1, 16, dark_domain=True),
+    _Case('design', 840, 40, 16, 42, 8, 210),
+    _Case('design, tight', 840, 40, 16, 50, 8, 210),
+    _Case('design, domain dark', 840, 40, 16, 42, 8, 210, dark_domain=True),
+    _Case('design, preset in a repair', 840, 40, 16, 42, 8, 210, preset=36),
+)
+
+
+def head_of(case: _Case, max_loading: int) -> TraceHead:
+    """Return the head of a case's traces."""
+    return TraceHead(
+        groups=(Group('pool', 'm', case.span),),
+        wanted={'pool': case.replicas},
+        domains={
+            f'h{number:04d}': f'd{number // case.domain_hosts:03d}'
+            for number in range(case.hosts)
+        },
+        load_s=180,
+        full_rate_loads=4,
+        max_loading=max_loading,
+    )
+
+
+async def async_planning(seed: int) -> dict[str, Any]:
+    """Replay every case with each planner on the same traces."""
+    planners: dict[str, tuple[Planner, int]] = {
+        'greedy': (GreedyPlanner(), 4),
+        'span': (SpanPlanner(), 4),
+        'span, no split': (SpanPlanner(allow_split=False), 4),
+        'span, one load at a time': (SpanPlanner(), 1),
+        'span, all loads at once': (SpanPlanner(), 1000),
+    }
+    cases = {}
+    for case in _CASES:
+        cases[case.name] = {
+            name: _replay(case, planner, max_loading, seed)
+            for name, (planner, max_loading) in planners.items()
+        }
+    return {'cases': cases, 'planning_s': _planning_time()}
+
+
+def _replay(
+    case: _Case,
+    planner: Planner,
+    max_loading: int,
+    seed: int,
+) -> dict[str, Any]:
+    head = head_of(case, max_loading)
+    preset = None if case.preset is None else {'pool': case.preset}
+    events = day_trace(
+        Random(seed),
+        head,
+        failures=case.failures,
+        restarts=case.restarts,
+        dark_domain=case.dark_domain,
+        preset=preset,
+    )
+    figures = Replay(head, events, planner).run(_SETTLE_S)
+    return _document(figures)
+
+
+def _document(figures: ReplayFigures) -> dict[str, Any]:
+    floor_s = max(figures.floor_replica_s, 1)
+    return {
+        'downtime_replica_s': round(figures.downtime_replica_s),
+        'stranded_host_s': round(figures.stranded_host_s),
+        'split_replica_s': round(figures.split_replica_s),
+        'floor_replica_s': round(figures.floor_replica_s),
+        'downtime_over_floor': round(figures.downtime_replica_s / floor_s, 2),
+        'breaks': figures.breaks,
+        'forms': figures.forms,
+        'drains': figures.drains,
+        'downtime_by_cause_s': dict(figures.downtime_by_cause),
+        **{
+            name: round(figures.score(*weights))
+            for name, weights in _WEIGHTS.items()
+        },
+    }
+
+
+def _planning_time() -> float:
+    """Time one plan of 840 replicas of 16 hosts, all to be formed."""
+    count, span = 840, 16
+    hosts = {
+        f'h{number}': PlanHost(f'h{number}', 'a', f'd{number // 40}')
+        for number in range(count * span)
+    }
+    facts = PlanInput(
+        hosts=hosts,
+        replicas=(),
+        groups=(Group('pool', 'm', span),),
+        wanted={'pool': count},
+        max_loading=count,
+    )
+    began_s = time.perf_counter()
+    moves = SpanPlanner().plan(facts)
+    took_s = time.perf_counter() - began_s
+    return round(took_s, 3) if len(moves) == count else -1
--- /dev/null
+++ b/tests/support/link.py
@@ -0,0 +1,70 @@
+"""A TCP link that tests cut, silence and heal."""
+
+import asyncio
+import contextlib
+
+__all__ = ('Link',)
+
+_READ_BYTES = 65536
+
+
+class Link:
+    """Forwards connections to a target."""
+
+    def __init__(self, target: str) -> None:
+        """Keep the target's address."""
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._open = asyncio.Event()
+        self._open.set()
+        self.address = ''
+
+    async def async_start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(
+            self._async_accept,
+            '127.0.0.1',
+            0,
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    def silence(self) -> None:
+        """Pass nothing on any more, without closing anything."""
+        self._open.clear()
+
+    def heal(self) -> None:
+        """Pass bytes again."""
+        self._open.set()
+
+    async def async_close(self) -> None:
+        """End all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _async_accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        host, port = self._target.split(':')
+        there = await asyncio.open_connection(host, int(port))
+        for source, sink in ((reader, there[1]), (there[0], writer)):
+            task = asyncio.create_task(self._async_pump(source, sink))
+            self._tasks.add(task)
+
+    async def _async_pump(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while part := await source.read(_READ_BYTES):
+                await self._open.wait()
+                sink.write(part)
+                await sink.drain()
+        sink.close()
--- a/tests/support/session.py
+++ b/tests/support/session.py
@@ -42,7 +42,8 @@
     ) -> list[str]:
         """Start a system and wait until every daemon routes."""
         cluster = self.cluster
-        await cluster.async_start_platform()
+        if 'platform' not in cluster.processes:
+            await cluster.async_start_platform()
         await asyncio.gather(
             cluster.async_start_plain('portal'),
             *(
--- a/yuccavalve/operators/status.py
+++ b/yuccavalve/operators/status.py
@@ -39,6 +39,7 @@
                 'region': member.region,
                 'availability_zone': member.availability_zone,
                 'caller_address': member.caller_address,
+                'peer_address': member.peer_address,
                 'alive': node.roster.is_alive(member.member, now_s),
                 'leaving': member.leaving,
                 'version': node.adoption.version_of(member.name),
--- /dev/null
+++ b/yuccavalve/replicas/baseline.py
@@ -0,0 +1,79 @@
+"""A baseline for the planner: greedy first fit, re-formed at once."""
+
+from collections import Counter
+
+import attrs
+
+from yuccavalve.ports import HostState
+from yuccavalve.replicas.models import (
+    Drain,
+    Form,
+    Move,
+    PlanInput,
+    Release,
+    Replica,
+    ReplicaState,
+)
+
+__all__ = ('GreedyPlanner',)
+
+
+_ENDING = frozenset((ReplicaState.BROKEN, ReplicaState.DRAINING))
+
+
+@attrs.frozen
+class GreedyPlanner:
+    """Takes the first free hosts in order and loads all at once."""
+
+    def plan(self, facts: PlanInput) -> list[Move]:
+        """Return the moves, without regard to domains or the weight store."""
+        broken = [
+            replica
+            for replica in facts.replicas
+            if replica.state is ReplicaState.BROKEN
+        ]
+        moves: list[Move] = [Release(replica.replica) for replica in broken]
+        have: Counter[str] = Counter()
+        for replica in facts.replicas:
+            if replica.state not in _ENDING:
+                moves.extend(_keep_or_drain(facts, replica, have))
+        return [*moves, *_first_fit(facts, have)]
+
+
+def _keep_or_drain(
+    facts: PlanInput,
+    replica: Replica,
+    have: Counter[str],
+) -> list[Move]:
+    leaving = any(
+        facts.hosts[host.host].state is HostState.LEAVING
+        for host in replica.hosts
+        if host.host in facts.hosts
+    )
+    over = have[replica.group] >= facts.wanted.get(replica.group, 0)
+    if leaving or over:
+        return [Drain(replica.replica)]
+    have[replica.group] += 1
+    return []
+
+
+def _first_fit(facts: PlanInput, have: Counter[str]) -> list[Move]:
+    held = {
+        host.host
+        for replica in facts.replicas
+        if replica.state is not ReplicaState.BROKEN
+        for host in replica.hosts
+    }
+    free = [
+        name
+        for name in sorted(facts.hosts)
+        if name not in held and facts.hosts[name].state is HostState.LIVE
+    ]
+    moves: list[Move] = []
+    for group in facts.groups:
+        span = group.hosts_per_replica
+        missing = facts.wanted.get(group.name, 0) - have[group.name]
+        for _ in range(min(max(0, missing), len(free) // span)):
+            moves.append(Form(group.name, tuple(free[:span])))
+            free = free[span:]
+    return moves
