--- a/script/tools/bench.py
+++ b/script/tools/bench.py
@@ -10,6 +10,7 @@
 
 _BENCHES = {
     'relay': 'processor time a token against a splice',
+    'membership': 'control cost of 4 to 64 daemons as processes',
     'planning': 'downtime and stranded hosts against greedy first fit',
 }
 
--- a/yuccavalve/operators/status.py
+++ b/yuccavalve/operators/status.py
@@ -19,6 +19,7 @@
         'revision': configuration.revision,
         'accepted': adoption.accepted(configuration.version, now_s),
         'fresh': adoption.is_fresh(now_s),
+        'control_bytes': node.peers.control_bytes,
         'preset_in_force': configuration.document.preset_in_force,
         'voters': [voter.name for voter in configuration.electorate.voters],
         'members': _members(node, now_s),
--- a/yuccavalve/peers/client.py
+++ b/yuccavalve/peers/client.py
@@ -9,6 +9,7 @@
 from yuccavalve.peers.const import (
     CHANNEL_IDLE_S,
     CHANNEL_OPTIONS,
+    FRAME_BYTES,
     KEY_METADATA,
 )
 from yuccavalve.peers.generated import peer_pb2, peer_pb2_grpc
@@ -23,6 +24,8 @@
 class PeerClient:
     """Channels to peers, kept while they are in use.
 
+    ``control_bytes`` counts messages both ways and their framing.
+
     A channel that fails is closed, so that a connection that went silent
     is never used again.
     """
@@ -32,6 +35,7 @@
         self._metadata = ((KEY_METADATA, key),)
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._used_at_s: dict[str, float] = {}
+        self.control_bytes = 0
 
     async def async_call(
         self,
@@ -49,7 +53,7 @@
         """
         stub = peer_pb2_grpc.PeerStub(self._channel(address))
         try:
-            return await getattr(stub, method)(
+            reply = await getattr(stub, method)(
                 request,
                 timeout=timeout_s,
                 metadata=self._metadata,
@@ -57,6 +61,9 @@
         except grpc.RpcError as error:
             await self._async_drop(address)
             raise PeerUnreachableError(f'{address}: {error!r}') from error
+        sizes = request.ByteSize() + reply.ByteSize()
+        self.control_bytes += sizes + FRAME_BYTES
+        return reply
 
     async def async_pull(
         self,
--- a/yuccavalve/peers/const.py
+++ b/yuccavalve/peers/const.py
@@ -21,4 +21,6 @@
     ('grpc.http2.min_recv_ping_interval_without_data_ms', 5000),
     ('grpc.max_receive_message_length', 4194304),
 )
+# Headers, framing and acknowledgements of one call, both ways.
+FRAME_BYTES: Final = 220
 CHANNEL_IDLE_S: Final = 30.0
--- a/yuccavalve/replicas/traces.py
+++ b/yuccavalve/replicas/traces.py
@@ -109,8 +109,8 @@
         Seconds that replicas served across fabric domains.
     floor_replica_s
         Downtime that no planner with these facts could have avoided:
-        hosts that are not there, and detection and one load for each
-        replica that broke.
+        hosts that are not there, detection and one load for each replica
+        that broke, and one load for each that lost a host on a schedule.
     """
 
     downtime_replica_s: float = 0
@@ -135,6 +135,7 @@
     """A replica of the replay."""
 
     record: Replica
+    split: bool = False
     loaded_s: float = 0
     since_s: float = 0
     broken_at_s: float | None = None
@@ -197,6 +198,15 @@
                 self._states[host] = HostState.LIVE
             elif event.kind == 'leaving':
                 self._states[host] = HostState.LEAVING
+                self._add_leaving_floor(host)
+
+    def _add_leaving_floor(self, host: str) -> None:
+        """Count one load: the replica drains before another can load."""
+        for slot in self._slots.values():
+            held = any(each.host == host for each in slot.record.hosts)
+            serving = slot.record.state is ReplicaState.SERVING
+            if held and serving and self._now_s >= 0:
+                self.figures.floor_replica_s += self._head.load_s
 
     def _break_holder(self, host: str) -> None:
         for slot in self._slots.values():
@@ -268,7 +278,7 @@
                 for host in move.hosts
             ),
         )
-        self._slots[name] = _Slot(record)
+        self._slots[name] = _Slot(record, record.is_split)
         self._count('forms')
 
     def _count(self, name: str) -> None:
@@ -308,7 +318,7 @@
             whole = slot.broken_at_s is None
             if slot.record.state is ReplicaState.SERVING and whole:
                 serving[slot.record.group] += 1
-                if slot.record.is_split:
+                if slot.split:
                     self.figures.split_replica_s += _STEP_S
             else:
                 held_s = len(slot.record.hosts) * _STEP_S
