--- a/script/tools/bench.py
+++ b/script/tools/bench.py
@@ -9,7 +9,9 @@
 from pathlib import Path
 
 _BENCHES = {
+    'spread': 'how news spreads among 380 daemons, logical clock',
     'relay': 'processor time a token against a splice',
+    'load': 'routing, fairness and retries against baselines',
     'membership': 'control cost of 4 to 64 daemons as processes',
     'planning': 'downtime and stranded hosts against greedy first fit',
 }
--- /dev/null
+++ b/script/tools/benches/load.py
@@ -0,0 +1,407 @@
+"""Routing, fairness and retries against baselines, in a queueing model.
+
+Requests go through the daemon's own decisions under a logical clock. An
+engine is a queue before a number of slots; a prompt whose prefix it holds
+needs a shorter prefill. Only differences within one run mean anything.
+"""
+
+import heapq
+import itertools
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+import attrs
+
+from yuccavalve.load import (
+    AffinityRouter,
+    Candidate,
+    FairQueue,
+    RetryBudget,
+    Ticket,
+)
+
+__all__ = ('async_load',)
+
+_REPLICAS = 16
+_SLOTS = 16
+_DAEMONS = 8
+_TOKENS = 100
+_TOKEN_S = 0.03
+_PREFILL_MISS_S = 0.8
+_PREFILL_HIT_S = 0.1
+_CACHED = 24
+_PREFIXES = 200
+_RUN_S = 300.0
+_WARM_S = 60.0
+
+
+class _Chooser(Protocol):
+    def choose(self, candidates: Any, prefix_key: str, random: Random) -> Any:
+        """Return a candidate."""
+
+
+class _RandomRouter:
+    def choose(self, candidates: Any, prefix_key: str, random: Random) -> Any:
+        return random.choice(candidates)
+
+
+class _ReportRouter:
+    def choose(self, candidates: Any, prefix_key: str, random: Random) -> Any:
+        return min(candidates, key=lambda each: each.reported)
+
+
+class _TwoChoices:
+    def choose(self, candidates: Any, prefix_key: str, random: Random) -> Any:
+        return min(
+            random.sample(list(candidates), 2),
+            key=lambda each: each.reported + each.own_since_report,
+        )
+
+
+@attrs.define(eq=False)
+class _Engine:
+    name: str
+    slowdown: float = 1
+    running: int = 0
+    alive: bool = True
+    queue: deque = attrs.field(factory=deque)
+    cache: OrderedDict = attrs.field(factory=OrderedDict)
+    reported: int = 0
+
+    def prefill_s(self, prefix: str) -> float:
+        hit = prefix in self.cache
+        self.cache[prefix] = None
+        self.cache.move_to_end(prefix)
+        if len(self.cache) > _CACHED:
+            self.cache.popitem(last=False)
+        return _PREFILL_HIT_S if hit else _PREFILL_MISS_S
+
+
+class _Simulation:
+    """Events in the order of time."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.now_s: float = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+
+    def at(self, delay_s: float, call: Callable[[], None]) -> None:
+        entry = (self.now_s + delay_s, next(self._count), call)
+        heapq.heappush(self._events, entry)
+
+    def run(self, until_s: float) -> None:
+        while self._events and self._events[0][0] <= until_s:
+            self.now_s, _, call = heapq.heappop(self._events)
+            call()
+
+
+@attrs.define
+class _RoutingCase:
+    router: _Chooser
+    lag_s: float
+    straggler: bool = False
+    lost: bool = False
+    utilisation: float = 0.7
+
+
+def _routing(case: _RoutingCase, seed: int) -> dict[str, Any]:
+    sim = _Simulation(Random(seed))
+    engines = [_Engine(f'p{number}') for number in range(_REPLICAS)]
+    if case.straggler:
+        engines[0].slowdown = 4
+    own = [Counter() for _ in range(_DAEMONS)]
+    since: list[Counter[str]] = [Counter() for _ in range(_DAEMONS)]
+    speeds: Counter[str] = Counter()
+    first_s: list[float] = []
+    hits = Counter()
+    service_s = _PREFILL_MISS_S / 2 + _TOKENS * _TOKEN_S
+    rate = _REPLICAS * _SLOTS * case.utilisation / service_s
+
+    def report() -> None:
+        for engine in engines:
+            engine.reported = engine.running + len(engine.queue)
+        for counter in since:
+            counter.clear()
+        sim.at(case.lag_s, report)
+
+    def arrive() -> None:
+        sim.at(sim.random.expovariate(rate), arrive)
+        daemon = sim.random.randrange(_DAEMONS)
+        prefix = f'x{int(_PREFIXES * sim.random.random() ** 2)}'
+        candidates = [
+            Candidate(
+                engine.name,
+                _SLOTS,
+                own[daemon][engine.name],
+                engine.reported,
+                case.lag_s / 2,
+                since[daemon][engine.name],
+                4 if speeds[engine.name] > 20 else 1,
+            )
+            for engine in engines
+            if engine.alive
+        ]
+        chosen = case.router.choose(candidates, prefix, sim.random)
+        engine = next(each for each in engines if each.name == chosen.replica)
+        own[daemon][engine.name] += 1
+        since[daemon][engine.name] += 1
+        engine.queue.append((sim.now_s, prefix, daemon))
+        start(engine)
+
+    def start(engine: _Engine) -> None:
+        while engine.queue and engine.running < _SLOTS:
+            came_s, prefix, daemon = engine.queue.popleft()
+            engine.running += 1
+            prefill_s = engine.prefill_s(prefix)
+            hits[prefill_s == _PREFILL_HIT_S] += 1
+            if came_s > _WARM_S:
+                first_s.append(sim.now_s - came_s + prefill_s)
+            busy_s = prefill_s + _TOKENS * _TOKEN_S * engine.slowdown
+            sim.at(busy_s, lambda daemon=daemon: end(engine, daemon))
+
+    def end(engine: _Engine, daemon: int) -> None:
+        engine.running -= 1
+        own[daemon][engine.name] -= 1
+        if engine.slowdown > 1:
+            speeds[engine.name] += 1
+        start(engine)
+
+    def lose() -> None:
+        lost = engines[-1]
+        lost.alive = False
+        waiting = list(lost.queue)
+        lost.queue.clear()
+        for _ in waiting:
+            sim.at(0, lambda: None)
+
+    report()
+    arrive()
+    if case.lost:
+        sim.at(_RUN_S / 2, lose)
+    sim.run(_RUN_S)
+    ordered = sorted(first_s)
+    return {
+        'first_token_p50_s': round(ordered[len(ordered) // 2], 3),
+        'first_token_p95_s': round(ordered[int(0.95 * len(ordered))], 3),
+        'prefix_hit_rate': round(hits[True] / max(1, sum(hits.values())), 3),
+    }
+
+
+def _routing_cases(seed: int) -> dict[str, Any]:
+    routers: dict[str, _Chooser] = {
+        'random': _RandomRouter(),
+        'least reported': _ReportRouter(),
+        'two choices': _TwoChoices(),
+        'affinity': AffinityRouter(),
+    }
+    shapes = {
+        'lag 0.5 s': {'lag_s': 0.5},
+        'lag 1 s': {'lag_s': 1},
+        'lag 5 s': {'lag_s': 5},
+        'lag 1 s, straggler': {'lag_s': 1, 'straggler': True},
+        'lag 1 s, one lost': {'lag_s': 1, 'lost': True},
+    }
+    return {
+        shape: {
+            name: _routing(_RoutingCase(router, **fields), seed)
+            for name, router in routers.items()
+        }
+        for shape, fields in shapes.items()
+    }
+
+
+class _Fifo:
+    """First come, first served, as a baseline for the fair queue."""
+
+    def __init__(self, max_queued: int) -> None:
+        self._queue: deque[Ticket] = deque()
+        self._max_queued = max_queued
+
+    def push(self, ticket: Ticket) -> bool:
+        if len(self._queue) >= self._max_queued:
+            return False
+        self._queue.append(ticket)
+        return True
+
+    def pop(self) -> Ticket | None:
+        return self._queue.popleft() if self._queue else None
+
+    def drop_expired(self, now_s: float, least_s: Any) -> list[Ticket]:
+        kept = [each for each in self._queue if each.deadline_at_s > now_s]
+        expired = len(self._queue) - len(kept)
+        self._queue = deque(kept)
+        return [Ticket('', '', 0, 0)] * expired
+
+
+def _fairness(
+    queue: Any,
+    overload: float,
+    seed: int,
+    *,
+    early: bool = False,
+) -> dict[str, Any]:
+    """One large workspace sends a multiple of the capacity for a while.
+
+    ``early`` refuses what can't meet its deadline, at once.
+    """
+    sim = _Simulation(Random(seed))
+    slots, service_s, deadline_s = 64, 3.0, 10.0
+    capacity = slots / service_s
+    small = [f'w{number}' for number in range(9)]
+    small_rate = capacity * 0.5 / len(small)
+    begin_s, end_s, until_s = 60.0, 180.0, 300.0
+    running = 0
+    asked: Counter[str] = Counter()
+    good: Counter[str] = Counter()
+    waits: list[tuple[float, float]] = []
+    came: dict[Ticket, float] = {}
+
+    def arrive(name: str, rate: float) -> None:
+        large = name == 'large'
+        if not large or begin_s <= sim.now_s < end_s:
+            ticket = Ticket(name, 'draft', _TOKENS, sim.now_s + deadline_s)
+            asked[name] += 1
+            if may_wait(ticket) and queue.push(ticket):
+                came[ticket] = sim.now_s
+            start()
+        gap_s = sim.random.expovariate(rate)
+        sim.at(gap_s, lambda: arrive(name, rate))
+
+    def may_wait(ticket: Ticket) -> bool:
+        if not early:
+            return True
+        wait_s = queue.tokens_ahead(ticket) / (capacity * _TOKENS)
+        return sim.now_s + wait_s + service_s <= ticket.deadline_at_s
+
+    def start() -> None:
+        nonlocal running
+        queue.drop_expired(sim.now_s, lambda _: service_s if early else 0)
+        while running < slots:
+            ticket = queue.pop()
+            if ticket is None:
+                return
+            running += 1
+            wait_s = sim.now_s - came.pop(ticket)
+            waits.append((sim.now_s, wait_s))
+            if sim.now_s + service_s <= ticket.deadline_at_s:
+                good[ticket.workspace] += 1
+            sim.at(service_s, end)
+
+    def end() -> None:
+        nonlocal running
+        running -= 1
+        start()
+
+    for name in small:
+        arrive(name, small_rate)
+    arrive('large', capacity * overload)
+    sim.run(until_s)
+    late = [at_s for at_s, wait_s in waits if at_s > end_s and wait_s > 0.5]
+    return {
+        'worst_small_share_of_asked': round(
+            min(good[name] / asked[name] for name in small),
+            3,
+        ),
+        'large_goodput_of_due': round(
+            good['large'] / (0.5 * capacity * (end_s - begin_s)),
+            3,
+        ),
+        'recovery_s': round(max(late) - end_s, 1) if late else 0,
+    }
+
+
+def _retries(budgeted: bool, seed: int) -> dict[str, Any]:
+    """Half of the replicas refuse for a time; callers come back when told."""
+    sim = _Simulation(Random(seed))
+    budget = RetryBudget()
+    rate, begin_s, end_s, until_s = 100.0, 60.0, 120.0, 240.0
+    capacity_per_s = 130.0
+    tokens = capacity_per_s
+    attempts: Counter[int] = Counter()
+    requests: Counter[int] = Counter()
+    failed: Counter[int] = Counter()
+
+    def refill() -> None:
+        nonlocal tokens
+        tokens = min(capacity_per_s, tokens + capacity_per_s * 0.05)
+        sim.at(0.05, refill)
+
+    def backend() -> bool:
+        """Take one attempt; a refusal costs the engine a part of one."""
+        nonlocal tokens
+        attempts[int(sim.now_s)] += 1
+        broken = begin_s <= sim.now_s < end_s and sim.random.random() < 0.5
+        cost = 0.3 if broken else 1
+        if tokens < cost:
+            return False
+        tokens -= cost
+        return not broken
+
+    def serve() -> bool:
+        budget.earn()
+        if backend():
+            return True
+        for _ in range(3):
+            if budgeted and not budget.spend():
+                return False
+            if backend():
+                return True
+        return False
+
+    def arrive() -> None:
+        sim.at(sim.random.expovariate(rate), arrive)
+        ask(0)
+
+    def ask(again: int) -> None:
+        second = int(sim.now_s)
+        requests[second] += 1
+        if serve():
+            return
+        failed[second] += 1
+        if again < 5:
+            back_s = 1 + 4 * sim.random.random() if budgeted else 0.2
+            sim.at(back_s, lambda: ask(again + 1))
+
+    refill()
+    arrive()
+    sim.run(until_s)
+    window = range(int(begin_s), int(end_s))
+    bad = [second for second in failed if second >= end_s]
+    return {
+        'attempts_over_requests': round(
+            sum(attempts[s] for s in window) / sum(requests[s] for s in window),
+            3,
+        ),
+        'peak_attempts_per_s': max(attempts.values()),
+        'normal_again_after_s': round(max(bad, default=end_s) + 1 - end_s)
+        if bad
+        else 0,
+    }
+
+
+async def async_load(seed: int) -> dict[str, Any]:
+    """Run all models."""
+    weights: dict[str, float] = {}
+    return {
+        'routing': _routing_cases(seed),
+        'fairness': {
+            f'{overload}x': {
+                'fifo': _fairness(_Fifo(512), overload, seed),
+                'fair': _fairness(FairQueue(weights, 512), overload, seed),
+                'fair, early': _fairness(
+                    FairQueue(weights, 512),
+                    overload,
+                    seed,
+                    early=True,
+                ),
+            }
+            for overload in (2, 5)
+        },
+        'retries': {
+            'three at once': _retries(False, seed),
+            'budget': _retries(True, seed),
+        },
+    }
--- /dev/null
+++ b/script/tools/benches/spread.py
@@ -0,0 +1,247 @@
+"""How news spreads among 380 daemons, through the code that they run.
+
+Each node is a ``PeerState`` under a logical clock; messages take a few
+milliseconds and some are lost. Nothing else of a daemon runs.
+"""
+
+import heapq
+import itertools
+import statistics
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from yuccavalve.clock import LogicalClock
+from yuccavalve.configuration import (
+    AdoptionState,
+    Configuration,
+    Electorate,
+    Voter,
+)
+from yuccavalve.const import (
+    GOSSIP_FANOUT,
+    GOSSIP_PERIOD_S,
+    MAX_VOTERS_PER_REGION,
+    PROBE_PERIOD_S,
+)
+from yuccavalve.hashing import rendezvous_order
+from yuccavalve.membership import Member, Roster
+from yuccavalve.peers import PeerState
+from yuccavalve.peers.const import FRAME_BYTES
+from yuccavalve.replicas import (
+    Grant,
+    GrantTable,
+    Replica,
+    ReplicaHost,
+    ReplicaState,
+    ReplicaTable,
+)
+from yuccavalve.requests.slots import Demands
+
+__all__ = ('async_spread',)
+
+_COUNTS = (8, 64, 380)
+_REPLICAS = {8: 16, 64: 16, 380: 52}
+_WARM_S = 30.0
+_RUN_S = 30.0
+_DELAY_S = (0.0005, 0.02)
+_LOSS = 0.01
+_VERIFIERS = 2
+
+
+class _Network:
+    def __init__(self, count: int, seed: int) -> None:
+        self.random = Random(seed)
+        self.clock = LogicalClock(1000)
+        self.bytes = 0
+        self.pulls = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self.members = [
+            Member(
+                f'entry-{number:03d}-0123abcd',
+                f'entry-{number:03d}',
+                f'region-{number % 2}',
+                f'zone-{number % 5}',
+                f'10.0.{number // 256}.{number % 256}:7000',
+                f'10.0.{number // 256}.{number % 256}:7001',
+            )
+            for number in range(count)
+        ]
+        self.replicas = [
+            Replica(
+                f'pool-{number}',
+                'pool',
+                'm',
+                number + 1,
+                32,
+                ReplicaState.SERVING,
+                (ReplicaHost('h', 'a', 'd', 'b'),),
+            )
+            for number in range(_REPLICAS[count])
+        ]
+        electorate = self._electorate()
+        self.nodes = [self._node(member, electorate) for member in self.members]
+        self.dead: set[int] = set()
+
+    def at(self, delay_s: float, call: Callable[[], None]) -> None:
+        entry = (self.clock.now_s() + delay_s, next(self._sequence), call)
+        heapq.heappush(self._events, entry)
+
+    def run(self, seconds: float) -> None:
+        until_s = self.clock.now_s() + seconds
+        while self._events and self._events[0][0] <= until_s:
+            self.clock.reading_s, _, call = heapq.heappop(self._events)
+            call()
+        self.clock.reading_s = until_s
+
+    def start(self) -> None:
+        for index in range(len(self.nodes)):
+            self.at(self.random.uniform(0, 1), lambda i=index: self._pull(i))
+        for replica in self.replicas:
+            names = [member.member for member in self.members]
+            order = rendezvous_order(replica.replica, names)
+            for name in order[:_VERIFIERS]:
+                index = names.index(name)
+                self.at(
+                    self.random.uniform(0, 1),
+                    lambda i=index, r=replica: self._verify(i, r),
+                )
+
+    def _electorate(self) -> Electorate:
+        voters = []
+        for region in ('region-0', 'region-1'):
+            members = [each for each in self.members if each.region == region]
+            voters.extend(
+                Voter(each.name, region)
+                for each in members[:MAX_VOTERS_PER_REGION]
+            )
+        return Electorate(tuple(voters))
+
+    def _node(self, member: Member, electorate: Electorate) -> PeerState:
+        adoption = AdoptionState(
+            member.name,
+            Configuration(7, 7, 'c', 'a', 's', electorate=electorate),
+        )
+        adoption.votes = True
+        table = ReplicaTable()
+        table.merge(self.replicas, 0)
+        roster = Roster(member)
+        roster.learn_all(self.members)
+        return PeerState(
+            roster,
+            adoption,
+            GrantTable(),
+            table,
+            Demands(),
+            self.clock,
+            self.random,
+        )
+
+    def _verify(self, index: int, replica: Replica) -> None:
+        if index in self.dead:
+            return
+        grant = Grant(
+            replica.replica,
+            replica.incarnation,
+            self.clock.now_s(),
+            9,
+        )
+        self.nodes[index].grants.offer(grant)
+        self.at(PROBE_PERIOD_S, lambda: self._verify(index, replica))
+
+    def _pull(self, index: int) -> None:
+        if index in self.dead:
+            return
+        for _ in range(GOSSIP_FANOUT):
+            other = self.random.randrange(len(self.nodes))
+            if other != index:
+                self._send(index, other)
+        period_s = GOSSIP_PERIOD_S * self.random.uniform(0.8, 1.2)
+        self.at(period_s, lambda: self._pull(index))
+
+    def _send(self, index: int, other: int) -> None:
+        sent_at_s = self.clock.now_s()
+        request = self.nodes[index].request()
+
+        def arrive() -> None:
+            if other in self.dead or self.random.random() < _LOSS:
+                return
+            reply = self.nodes[other].reply(request)
+            self.bytes += request.ByteSize() + reply.ByteSize() + FRAME_BYTES
+            self.pulls += 1
+            self.at(
+                self.random.uniform(*_DELAY_S),
+                lambda: self.nodes[index].read(reply, sent_at_s),
+            )
+
+        self.at(self.random.uniform(*_DELAY_S), arrive)
+
+
+def _quantiles(samples: list[float]) -> dict[str, float]:
+    ordered = sorted(samples)
+    return {
+        'p50': round(ordered[len(ordered) // 2], 2),
+        'p99': round(ordered[int(0.99 * (len(ordered) - 1))], 2),
+        'max': round(ordered[-1], 2),
+    }
+
+
+def _case(count: int, seed: int) -> dict[str, Any]:
+    network = _Network(count, seed)
+    network.start()
+    network.run(_WARM_S)
+    network.bytes = 0
+    network.pulls = 0
+    grants: list[float] = []
+    lapsed = 0
+    confirmed: list[float] = []
+    silent: list[float] = []
+    for _ in range(int(_RUN_S)):
+        network.run(1)
+        now_s = network.clock.now_s()
+        for node in network.nodes[:: max(1, count // 40)]:
+            current = {
+                each.replica: each for each in node.grants.all_current(now_s)
+            }
+            lapsed += len(network.replicas) - len(current)
+            grants.extend(now_s - each.at_s for each in current.values())
+            confirmed.append(now_s - node.adoption.confirmed_at(now_s))
+            silent.extend(
+                now_s - node.roster.heard_at(member.member)
+                for member in network.members
+                if member.member != node.roster.own.member
+            )
+    sent = network.bytes / _RUN_S / count
+    detected = _detect(network)
+    return {
+        'grant_age_s': _quantiles(grants),
+        'grants_lapsed_share': round(lapsed / (lapsed + len(grants)), 5),
+        'confirmed_by_voters_alone_age_s': _quantiles(confirmed),
+        'member_news_age_s': _quantiles(silent),
+        'dead_member_detected_s': detected,
+        'bytes_per_s_pulled': round(sent),
+        'bytes_per_s_both_ways': round(2 * sent),
+        'bytes_per_pull': round(network.bytes / max(1, network.pulls)),
+    }
+
+
+def _detect(network: _Network) -> float:
+    """Return the mean time until others hold a dead member dead."""
+    victim = len(network.nodes) - 1
+    network.dead.add(victim)
+    began_s = network.clock.now_s()
+    name = network.members[victim].member
+    times: dict[int, float] = {}
+    while len(times) < victim and network.clock.now_s() - began_s < 60:
+        network.run(0.5)
+        now_s = network.clock.now_s()
+        for index, node in enumerate(network.nodes[:victim]):
+            if index not in times and not node.roster.is_alive(name, now_s):
+                times[index] = now_s - began_s
+    return round(statistics.mean(times.values()), 2) if times else -1
+
+
+async def async_spread(seed: int) -> dict[str, Any]:
+    """Run each count of daemons."""
+    return {'daemons': {str(n): _case(n, seed) for n in _COUNTS}}
--- a/yuccavalve/configuration/adoption.py
+++ b/yuccavalve/configuration/adoption.py
@@ -105,12 +105,8 @@
         known.pop(self.name, None)
         if self.votes:
             known[self.name] = Evidence(self.name, self.version, now_s)
-        names = {
-            voter.name
-            for voters in self.configuration.electorate.voter_sets()
-            for voter in voters
-        }
-        return [known[name] for name in sorted(names & known.keys())]
+        names = self.configuration.electorate.names()
+        return [known[name] for name in names if name in known]
 
     def version_of(self, name: str) -> int | None:
         """Return the version that a daemon was last known to run."""
--- a/yuccavalve/configuration/models.py
+++ b/yuccavalve/configuration/models.py
@@ -156,6 +156,10 @@
     voters: tuple[Voter, ...] = ()
     previous: tuple[Voter, ...] = ()
 
+    def names(self) -> list[str]:
+        """Return the names of all voters, in order."""
+        return sorted({voter.name for voter in self.voters + self.previous})
+
     def voter_sets(self) -> tuple[tuple[Voter, ...], ...]:
         """Return the sets that each need their majorities."""
         return tuple(group for group in (self.voters, self.previous) if group)
--- a/yuccavalve/const.py
+++ b/yuccavalve/const.py
@@ -10,7 +10,7 @@
 STORE_POLL_S: Final = 3.0
 
 # Evidence that a replica is complete.
-GRANT_LIFETIME_S: Final = 5.0
+GRANT_LIFETIME_S: Final = 6.0
 PROBE_PERIOD_S: Final = 1.0
 PROBE_TIMEOUT_S: Final = 1.0
 HOST_MISSING_S: Final = 3.0
@@ -25,8 +25,10 @@
 GOSSIP_PERIOD_S: Final = 1.0
 GOSSIP_FANOUT: Final = 2
 PEER_TIMEOUT_S: Final = 1.5
-PEER_SUSPECT_S: Final = 5.0
-DIGEST_MEMBERS: Final = 64
+PEER_SUSPECT_S: Final = 6.0
+DIGEST_MEMBERS: Final = 16
+DIGEST_RUN: Final = 96
+MAX_VOTERS_PER_REGION: Final = 9
 
 # Requests.
 STREAM_IDLE_S: Final = 10.0
--- a/yuccavalve/daemon/electorate_duty.py
+++ b/yuccavalve/daemon/electorate_duty.py
@@ -1,13 +1,14 @@
 """The duty that keeps the electorate and sweeps members' rows."""
 
 import uuid
+from collections import Counter
 
 import attrs
 
 from yuccavalve.const import MEMBER_LEASE_S
 from yuccavalve.daemon.node import Node
 from yuccavalve.daemon.spread import async_push_configuration
-from yuccavalve.membership import Lease, next_electorate
+from yuccavalve.membership import Lease, Member, next_electorate
 from yuccavalve.membership.const import (
     ELECTORATE_DEAD_S,
     ELECTORATE_STABLE_S,
@@ -46,15 +47,16 @@
         if committed is not None:
             await async_push_configuration(node, committed)
 
-    def _joined(self, now_s: float) -> list:  # type: ignore[type-arg]
+    def _joined(self, now_s: float) -> list[Member]:
         entries = self.node.roster.entries(now_s)
         names = {member.name for member in entries}
         self._since_s = {name: self._since_s.get(name, now_s) for name in names}
-        return [
+        stable = [
             member
             for member in entries
             if now_s - self._since_s[member.name] >= ELECTORATE_STABLE_S
         ]
+        return _spread_over_zones(stable)
 
     def _gone(self, now_s: float) -> set[str]:
         node = self.node
@@ -69,3 +71,13 @@
             for name, since_s in self._missing_since_s.items()
             if now_s - since_s >= ELECTORATE_DEAD_S
         }
+
+
+def _spread_over_zones(members: list[Member]) -> list[Member]:
+    """Order members so that each next one comes from another zone."""
+    seen: Counter[str] = Counter()
+    ranked = []
+    for each in sorted(members, key=lambda entry: entry.name):
+        seen[each.availability_zone] += 1
+        ranked.append((seen[each.availability_zone], each.name, each))
+    return [row[-1] for row in sorted(ranked, key=lambda row: row[:2])]
--- a/yuccavalve/daemon/peer_loop.py
+++ b/yuccavalve/daemon/peer_loop.py
@@ -20,6 +20,7 @@
     """Anti-entropy with random peers."""
 
     node: Node
+    _strangers: set[str] = attrs.field(factory=set)
 
     async def async_run(self) -> None:
         """Pull until cancelled."""
@@ -49,9 +50,12 @@
         try:
             reply = await node.peers.async_pull(
                 address,
-                node.peer_state.request(),
+                node.peer_state.request(introduce=address in self._strangers),
             )
             wanted = node.peer_state.read(reply, sent_at_s)
+            self._strangers.discard(address)
+            if wanted.introduction:
+                self._strangers.add(address)
             if wanted.configuration:
                 await self._async_fetch_configuration(address)
                 node.peer_state.read(reply, sent_at_s)
--- a/yuccavalve/daemon/planner_duty.py
+++ b/yuccavalve/daemon/planner_duty.py
@@ -1,6 +1,7 @@
 """The duty that forms, verifies, drains and releases replicas."""
 
 import asyncio
+from collections import Counter
 from typing import assert_never
 
 import attrs
@@ -42,6 +43,9 @@
 
 _UNREACHABLE_KEEP_S = 5.0
 _LOAD_BOUND_S = 900.0
+_COUNTED = frozenset(
+    (ReplicaState.FORMING, ReplicaState.LOADING, ReplicaState.SERVING),
+)
 
 
 @attrs.define
@@ -55,6 +59,7 @@
     _since_s: dict[tuple[str, ReplicaState], float] = attrs.field(
         factory=dict,
     )
+    _short_since_s: dict[str, float] = attrs.field(factory=dict)
     _unreachable_until_s: dict[str, float] = attrs.field(factory=dict)
 
     async def async_run_once(self, lease: Lease) -> None:
@@ -192,6 +197,7 @@
                 groups=document.groups,
                 wanted=document.wanted_replicas(),
                 max_loading=MAX_LOADING,
+                missing_s=self._missing_s(document.wanted_replicas()),
             ),
         )
         for move in moves:
@@ -199,6 +205,23 @@
                 return
             await self._async_move(lease, term, move)
 
+    def _missing_s(self, wanted: dict[str, int]) -> dict[str, float]:
+        """Return for how long each group has been short of replicas."""
+        now_s = self.node.clock.now_s()
+        have = Counter(
+            record.group
+            for record in self.node.replicas.all_records()
+            if record.state in _COUNTED
+        )
+        short = {name for name in wanted if have[name] < wanted[name]}
+        self._short_since_s = {
+            name: self._short_since_s.get(name, now_s) for name in short
+        }
+        return {
+            name: now_s - since_s
+            for name, since_s in self._short_since_s.items()
+        }
+
     def _plan_hosts(self) -> dict[str, PlanHost]:
         now_s = self.node.clock.now_s()
         document = self.node.adoption.configuration.document
--- a/yuccavalve/hashing.py
+++ b/yuccavalve/hashing.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-__all__ = ('rendezvous_order', 'short_id')
+__all__ = ('rendezvous_order', 'short_id', 'tiny_id')
 
 
 def rendezvous_order(key: str, candidates: Iterable[str]) -> list[str]:
@@ -25,6 +25,11 @@
     )
 
 
+def tiny_id(name: str) -> int:
+    """Return a 32-bit digest of a name, where a rare clash does no harm."""
+    return xxhash.xxh32_intdigest(name.encode())
+
+
 def short_id(name: str) -> int:
     """Return a 64-bit digest of a name, for digests between peers."""
     return xxhash.xxh64_intdigest(name.encode())
--- a/yuccavalve/load/fairness.py
+++ b/yuccavalve/load/fairness.py
@@ -9,7 +9,7 @@
 
 import heapq
 import itertools
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 
@@ -69,13 +69,24 @@
             for _, _, ticket in queue.heap
         )
 
-    def tokens_ahead(self, request_class: str) -> int:
-        """Return the waiting tokens of a class and those before it."""
-        position = CLASS_ORDER.index(request_class)
-        return sum(
-            ticket.cost_tokens
-            for name in CLASS_ORDER[: position + 1]
-            for _, _, ticket in self._queues[name].heap
+    def tokens_ahead(self, ticket: Ticket) -> int:
+        """Return the tokens that would be served before a new ticket.
+
+        They are those of earlier classes, and those of its own class whose
+        turn comes first; a workspace waits behind its own backlog.
+        """
+        position = CLASS_ORDER.index(ticket.request_class)
+        earlier = sum(
+            entry.cost_tokens
+            for name in CLASS_ORDER[:position]
+            for _, _, entry in self._queues[name].heap
+        )
+        queue = self._queues[ticket.request_class]
+        own_begin = self._begin(queue, ticket)
+        return earlier + sum(
+            entry.cost_tokens
+            for begin, _, entry in queue.heap
+            if begin <= own_begin
         )
 
     def push(self, ticket: Ticket) -> bool:
@@ -88,7 +99,7 @@
             return False
         queue = self._queues[ticket.request_class]
         weight = self.weights.get(ticket.workspace, 1)
-        begin = max(queue.virtual, queue.finish.get(ticket.workspace, 0))
+        begin = self._begin(queue, ticket)
         queue.finish[ticket.workspace] = begin + ticket.cost_tokens / weight
         heapq.heappush(queue.heap, (begin, next(self._sequence), ticket))
         self._count(ticket, 1)
@@ -115,13 +126,25 @@
         self._count(ticket, -1)
         return True
 
-    def drop_expired(self, now_s: float) -> list[Ticket]:
-        """Remove and return the tickets whose deadlines have passed."""
+    def drop_expired(
+        self,
+        now_s: float,
+        least_service_s: Callable[[Ticket], float],
+    ) -> list[Ticket]:
+        """Remove and return the tickets whose deadlines can't be met.
+
+        Parameters
+        ----------
+        now_s
+            The reading of the clock.
+        least_service_s
+            The shortest time that a ticket's answer may take.
+        """
         expired = [
             ticket
             for queue in self._queues.values()
             for _, _, ticket in queue.heap
-            if ticket.deadline_at_s <= now_s
+            if ticket.deadline_at_s <= now_s + least_service_s(ticket)
         ]
         for ticket in expired:
             self.remove(ticket)
@@ -137,6 +160,10 @@
         difference = (used_tokens - ticket.cost_tokens) / weight
         queue.finish[ticket.workspace] = finish + difference
 
+    def _begin(self, queue: _ClassQueue, ticket: Ticket) -> float:
+        finish = queue.finish.get(ticket.workspace, 0)
+        return max(queue.virtual, finish)
+
     def _next_queue(self) -> _ClassQueue | None:
         waiting = [
             self._queues[name]
--- a/yuccavalve/membership/electorate.py
+++ b/yuccavalve/membership/electorate.py
@@ -2,12 +2,16 @@
 
 Only one change of the electorate is under way at a time: the old voters stay
 as ``previous`` until the change is accepted, and both sets then need their
-majorities (joint consensus, Ongaro and Ousterhout, 2014, section 6).
+majorities (joint consensus, Ongaro and Ousterhout, 2014, section 6). A region
+has a bounded number of voters, so that what daemons tell each other about
+votes does not grow with them; the others follow.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 
 from yuccavalve.configuration.models import Electorate, Voter
+from yuccavalve.const import MAX_VOTERS_PER_REGION
 from yuccavalve.membership.models import Member
 
 __all__ = ('next_electorate',)
@@ -37,11 +41,16 @@
         return None
     if present.previous:
         return Electorate(present.voters)
-    voters = {voter.name: voter for voter in present.voters}
+    voters = {
+        voter.name: voter for voter in present.voters if voter.name not in gone
+    }
+    counts = Counter(voter.region for voter in voters.values())
     for member in joined:
-        voters.setdefault(member.name, Voter(member.name, member.region))
-    kept = voters.keys() - gone
-    proposed = tuple(voters[name] for name in sorted(kept))
+        known = member.name in voters
+        if not known and counts[member.region] < MAX_VOTERS_PER_REGION:
+            voters[member.name] = Voter(member.name, member.region)
+            counts[member.region] += 1
+    proposed = tuple(voters[name] for name in sorted(voters))
     if not proposed or proposed == present.voters:
         return None
     return Electorate(proposed, present.voters)
--- a/yuccavalve/membership/roster.py
+++ b/yuccavalve/membership/roster.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import attrs
+import xxhash
 
 from yuccavalve.const import DIGEST_MEMBERS, PEER_SUSPECT_S
 from yuccavalve.membership.models import Member
@@ -94,14 +95,22 @@
         others = self.members()[1:]
         return random.sample(others, min(count, len(others)))
 
-    def digest(
+    def ids(self) -> list[str]:
+        """Return the ids of all known members, in order."""
+        return sorted({*self._members, self.own.member})
+
+    def ids_digest(self) -> int:
+        """Return a hash over the ids of all known members."""
+        return xxhash.xxh64_intdigest(' '.join(self.ids()).encode())
+
+    def sample(
         self,
         random: Random,
         now_s: float,
-    ) -> list[tuple[Member, float]]:
-        """Return at most a fixed number of live members and their ages."""
+    ) -> list[tuple[str, float]]:
+        """Return ids and ages of a bounded number of live members."""
         ages = [
-            (member, now_s - self.heard_at(member.member))
+            (member.member, now_s - self.heard_at(member.member))
             for member in self.live(now_s)
             if member.member != self.own.member
         ]
--- a/yuccavalve/peers/exchange.py
+++ b/yuccavalve/peers/exchange.py
@@ -12,18 +12,27 @@
 
 from yuccavalve.clock import Clock
 from yuccavalve.configuration import AdoptionState, Evidence
-from yuccavalve.const import PROTOCOL_VERSION
-from yuccavalve.hashing import short_id
+from yuccavalve.const import DIGEST_RUN, PROTOCOL_VERSION
+from yuccavalve.hashing import tiny_id
 from yuccavalve.membership import Member, Roster
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
 from yuccavalve.replicas.claims import decode_replica, encode_replica
 from yuccavalve.requests.slots import Demands
 
-__all__ = ('PeerState', 'Wanted', 'head_of', 'member_of')
+__all__ = (
+    'AGE_UNIT_S',
+    'PeerState',
+    'Wanted',
+    'age_byte',
+    'head_of',
+    'member_of',
+)
 
 _MS = 1000
 _AGE_LIMIT_S = 60.0
+_BYTE_MAX = 255
+AGE_UNIT_S = 0.064
 
 
 @attrs.frozen
@@ -33,6 +42,7 @@
     configuration: bool
     replicas: bool
     members: bool
+    introduction: bool
 
 
 def head_of(member: Member) -> peer_pb2.MemberHead:
@@ -66,33 +76,43 @@
     random: Random
     own_demand: Callable[[], int] = int
 
-    def request(self) -> peer_pb2.PullRequest:
+    def request(self, *, introduce: bool = False) -> peer_pb2.PullRequest:
         """Return a request for a peer's digest."""
-        return peer_pb2.PullRequest(
+        message = peer_pb2.PullRequest(
             protocol=PROTOCOL_VERSION,
-            sender=head_of(self.roster.own),
+            member=tiny_id(self.roster.own.member),
             version=self.adoption.version,
             replicas_digest=self.table.digest(),
+            members_digest=self.roster.ids_digest(),
         )
+        if introduce or self.roster.own.leaving:
+            message.sender.CopyFrom(head_of(self.roster.own))
+        return message
 
     def reply(self, request: peer_pb2.PullRequest) -> peer_pb2.PullReply:
         """Return this daemon's digest."""
         now_s = self.clock.now_s()
-        self.roster.learn(member_of(request.sender))
+        own = self.roster.own
         message = peer_pb2.PullReply(
             protocol=PROTOCOL_VERSION,
-            sender=head_of(self.roster.own),
+            member=tiny_id(own.member),
             version=self.adoption.version,
             replicas_digest=self.table.digest(),
             votes=self.adoption.votes,
+            demand=self.own_demand(),
+            members_digest=self.roster.ids_digest(),
         )
+        if request.HasField('sender'):
+            self.roster.learn(member_of(request.sender))
+        message.introduce = request.member not in self._by_id()
+        if request.HasField('sender') or message.introduce or own.leaving:
+            message.sender.CopyFrom(head_of(own))
         store_age_s = now_s - self.adoption.store_at_s
         if store_age_s < _AGE_LIMIT_S:
             message.store_age_ms = _age_ms(store_age_s)
-        self._add_members(message, now_s)
-        self._add_grants(message, now_s)
-        demand = self.own_demand()
-        message.demands.add(workspace='', in_flight_tokens=demand)
+        self._add_members(message, now_s, request.members_digest)
+        self._add_voters(message, now_s, request.version)
+        self._add_grants(message, now_s, request.replicas_digest)
         return message
 
     def read(self, reply: peer_pb2.PullReply, sent_at_s: float) -> Wanted:
@@ -105,25 +125,25 @@
         sent_at_s
             Reading of the clock before the request was sent.
         """
-        sender = member_of(reply.sender)
-        self.roster.learn(sender)
-        self.roster.hear(sender.member, sent_at_s)
+        if reply.HasField('sender'):
+            self.roster.learn(member_of(reply.sender))
         if reply.HasField('store_age_ms'):
             self.adoption.observe_head(
                 reply.version,
                 sent_at_s - reply.store_age_ms / _MS,
             )
-        if reply.votes:
-            evidence = Evidence(sender.name, reply.version, sent_at_s)
-            self.adoption.observe_voters([evidence])
-        unknown = self._read_members(reply, sent_at_s)
+        by_id = self._by_id()
+        sender = by_id.get(reply.member)
+        if sender is not None:
+            self._read_sender(sender, reply, sent_at_s)
+        unknown = self._read_members(by_id, reply, sent_at_s)
+        self._read_voters(reply, sent_at_s)
         self._read_grants(reply, sent_at_s)
-        for demand in reply.demands:
-            self.demands.note(sender.member, demand.in_flight_tokens)
         return Wanted(
             configuration=reply.version > self.adoption.version,
             replicas=reply.replicas_digest != self.table.digest(),
-            members=unknown,
+            members=unknown or sender is None,
+            introduction=reply.introduce,
         )
 
     def describe_request(self) -> peer_pb2.DescribeRequest:
@@ -148,65 +168,158 @@
         for head in reply.members:
             self.roster.learn(member_of(head))
 
+    def _by_id(self) -> dict[int, Member]:
+        return {
+            tiny_id(member.member): member for member in self.roster.members()
+        }
+
     def _add_members(
         self,
         message: peer_pb2.PullReply,
         now_s: float,
+        digest: int,
     ) -> None:
-        reports = {
-            report.voter: report for report in self.adoption.evidence(now_s)
-        }
-        for member, age_s in self.roster.digest(self.random, now_s):
-            entry = message.members.add(
-                member=short_id(member.member),
-                age_ms=_age_ms(age_s),
-            )
-            report = reports.get(member.name)
+        if digest != message.members_digest:
+            sample = self.roster.sample(self.random, now_s)
+            message.members.extend(tiny_id(name) for name, _ in sample)
+            message.member_ages = bytes(age_byte(age_s) for _, age_s in sample)
+            return
+        names = self.roster.ids()
+        message.member_index = self.random.randrange(len(names))
+        message.member_ages = bytes(
+            self._member_byte(name, now_s)
+            for name in _run(names, message.member_index, DIGEST_RUN)
+        )
+
+    def _member_byte(self, name: str, now_s: float) -> int:
+        if name == self.roster.own.member:
+            return 1
+        return age_byte(now_s - self.roster.heard_at(name))
+
+    def _add_voters(
+        self,
+        message: peer_pb2.PullReply,
+        now_s: float,
+        version: int,
+    ) -> None:
+        reports = [
+            known
+            for known in self.adoption.evidence(now_s)
+            if known.version <= self.adoption.version
+        ]
+        if version != self.adoption.version:
+            message.voters.extend(_voter_age(row, now_s) for row in reports)
+            return
+        by_voter = {each.voter: each for each in reports}
+        ages = []
+        offsets = []
+        for name in self.adoption.configuration.electorate.names():
+            report = by_voter.get(name)
+            offset = _BYTE_MAX
             if report is not None:
-                entry.age_ms = _age_ms(now_s - report.at_s)
-                entry.version_offset = self.adoption.version - report.version
+                offset = min(_BYTE_MAX, version - report.version)
+            ages.append(age_byte(now_s - report.at_s) if report else 0)
+            offsets.append(offset)
+        message.voter_ages = bytes(ages)
+        message.voter_offsets = bytes(offsets)
 
     def _add_grants(
         self,
         message: peer_pb2.PullReply,
         now_s: float,
+        digest: int,
     ) -> None:
-        for grant in self.grants.all_current(now_s):
-            message.grants.add(
-                replica=grant.replica,
-                incarnation=grant.incarnation,
-                age_ms=_age_ms(now_s - grant.at_s),
-                load=grant.load,
-            )
         for replica, incarnation, broken in self.grants.revocations():
             message.revocations.add(
                 replica=replica,
                 incarnation=incarnation,
                 broken=broken,
             )
+        current = {
+            each.replica: each for each in self.grants.all_current(now_s)
+        }
+        if digest != message.replicas_digest:
+            for each in current.values():
+                message.grants.add(
+                    replica=each.replica,
+                    incarnation=each.incarnation,
+                    age_ms=_age_ms(now_s - each.at_s),
+                    load=each.load,
+                )
+            return
+        order = [
+            current.get(record.replica) for record in self.table.serving_order()
+        ]
+        message.grant_ages = bytes(
+            age_byte(now_s - grant.at_s) if grant else 0 for grant in order
+        )
+        message.grant_loads = bytes(
+            min(_BYTE_MAX, grant.load) if grant else 0 for grant in order
+        )
+
+    def _read_sender(
+        self,
+        sender: Member,
+        reply: peer_pb2.PullReply,
+        sent_at_s: float,
+    ) -> None:
+        self.roster.hear(sender.member, sent_at_s)
+        self.demands.note(sender.member, reply.demand)
+        if reply.votes:
+            evidence = Evidence(sender.name, reply.version, sent_at_s)
+            self.adoption.observe_voters([evidence])
 
     def _read_members(
         self,
+        by_id: dict[int, Member],
         reply: peer_pb2.PullReply,
         sent_at_s: float,
     ) -> bool:
-        by_id = {
-            short_id(member.member): member for member in self.roster.members()
-        }
+        if not reply.members and reply.member_ages:
+            self._read_run(reply, sent_at_s)
+            return False
         unknown = False
-        for entry in reply.members:
-            member = by_id.get(entry.member)
+        for tiny, age in zip(reply.members, reply.member_ages, strict=True):
+            member = by_id.get(tiny)
             if member is None:
                 unknown = True
-                continue
-            at_s = sent_at_s - entry.age_ms / _MS
-            self.roster.hear(member.member, at_s)
-            if entry.HasField('version_offset'):
-                version = reply.version - entry.version_offset
-                report = Evidence(member.name, version, at_s)
-                self.adoption.observe_voters([report])
+            elif age:
+                self.roster.hear(member.member, sent_at_s - age * AGE_UNIT_S)
         return unknown
 
+    def _read_run(self, reply: peer_pb2.PullReply, sent_at_s: float) -> None:
+        if reply.members_digest != self.roster.ids_digest():
+            return
+        length = len(reply.member_ages)
+        names = _run(self.roster.ids(), reply.member_index, length)
+        for name, age in zip(names, reply.member_ages, strict=True):
+            if age:
+                self.roster.hear(name, sent_at_s - age * AGE_UNIT_S)
+
+    def _read_voters(
+        self,
+        reply: peer_pb2.PullReply,
+        sent_at_s: float,
+    ) -> None:
+        self.adoption.observe_voters(
+            Evidence(
+                entry.voter,
+                entry.version,
+                sent_at_s - entry.age_ms / _MS,
+            )
+            for entry in reply.voters
+        )
+        names = self.adoption.configuration.electorate.names()
+        same = reply.version == self.adoption.version
+        if not same or len(names) != len(reply.voter_ages):
+            return
+        rows = zip(names, reply.voter_ages, reply.voter_offsets, strict=True)
+        self.adoption.observe_voters(
+            Evidence(name, reply.version - offset, sent_at_s - age * AGE_UNIT_S)
+            for name, age, offset in rows
+            if age and offset < _BYTE_MAX
+        )
+
     def _read_grants(
         self,
         reply: peer_pb2.PullReply,
@@ -227,6 +340,38 @@
                     entry.load,
                 ),
             )
+        if reply.replicas_digest != self.table.digest():
+            return
+        rows = zip(
+            self.table.serving_order(),
+            reply.grant_ages,
+            reply.grant_loads,
+            strict=False,
+        )
+        for record, age, load in rows:
+            at_s = sent_at_s - age * AGE_UNIT_S
+            grant = Grant(record.replica, record.incarnation, at_s, load)
+            if age:
+                self.grants.offer(grant)
+
+
+def _voter_age(report: Evidence, now_s: float) -> peer_pb2.VoterAge:
+    return peer_pb2.VoterAge(
+        voter=report.voter,
+        age_ms=_age_ms(now_s - report.at_s),
+        version=report.version,
+    )
+
+
+def _run(names: list[str], index: int, length: int) -> list[str]:
+    """Return names from an index on, going round at the end."""
+    return (names[index:] + names)[: min(length, len(names))]
+
+
+def age_byte(age_s: float) -> int:
+    """Return an age in units of a byte, rounded up; 0 when it is too old."""
+    units = int(max(0, age_s) / AGE_UNIT_S) + 1
+    return units if units <= _BYTE_MAX else 0
 
 
 def _age_ms(age_s: float) -> int:
--- a/yuccavalve/replicas/models.py
+++ b/yuccavalve/replicas/models.py
@@ -8,6 +8,7 @@
 
 from yuccavalve.configuration.models import Group
 from yuccavalve.ports import HostState
+from yuccavalve.replicas.const import DEFAULT_LOAD_S
 
 __all__ = (
     'Drain',
@@ -103,6 +104,11 @@
         Replica count of each group under the preset in force.
     max_loading
         Replicas that may load at once.
+    missing_s
+        For how long each group has had fewer replicas than it wants, those
+        that load counted in.
+    load_s
+        Time that a load takes.
     """
 
     hosts: Mapping[str, PlanHost]
@@ -110,6 +116,8 @@
     groups: tuple[Group, ...]
     wanted: Mapping[str, int]
     max_loading: int
+    missing_s: Mapping[str, float] = attrs.field(factory=dict)
+    load_s: float = DEFAULT_LOAD_S
 
 
 @attrs.frozen
--- a/yuccavalve/replicas/planner.py
+++ b/yuccavalve/replicas/planner.py
@@ -109,6 +109,9 @@
         self._counted = [
             replica for replica in self._counted if replica not in self._leaving
         ]
+        self._drained = any(
+            replica.state is ReplicaState.DRAINING for replica in facts.replicas
+        )
         self._free = self._free_hosts()
         loading = sum(replica.state in _COMING for replica in facts.replicas)
         self._budget = max(0, facts.max_loading - loading)
@@ -120,6 +123,7 @@
             Drain(replica.replica) for replica in self._leaving
         ]
         drains.extend(self._shrink())
+        self._drained = self._drained or bool(drains)
         forms = self._fill()
         return [*releases, *drains, *forms, *self._rejoin()]
 
@@ -186,19 +190,25 @@
             if have[group.name] >= self._facts.wanted.get(group.name, 0):
                 continue
             hosts = self._free.take_whole(group.hosts_per_replica)
-            if hosts is None and self._may_split():
+            if hosts is None and self._may_split(group):
                 hosts = self._free.take_split(group.hosts_per_replica)
             if hosts is not None:
                 return Form(group.name, hosts)
         return None
 
-    def _may_split(self) -> bool:
-        """Tell whether to span domains; hosts that drain are waited for."""
-        draining = any(
-            replica.state is ReplicaState.DRAINING
-            for replica in self._facts.replicas
-        )
-        return self._allow_split and not draining
+    def _may_split(self, group: Group) -> bool:
+        """Tell whether to span domains rather than to wait.
+
+        A split replica is replaced later, which strands its hosts for one
+        more load. So a group waits until the downtime has cost as much as
+        that load will (the rule of ski rental), and while hosts drain.
+        """
+        if not self._allow_split or self._drained:
+            return False
+        waited_s = self._facts.missing_s.get(group.name, 0)
+        waited = group.downtime_weight * waited_s
+        held_host_s = group.hosts_per_replica * self._facts.load_s
+        return waited >= group.stranded_weight * held_host_s
 
     def _urgency(self, group: Group, have: int) -> float:
         wanted = self._facts.wanted.get(group.name, 0)
--- a/yuccavalve/replicas/table.py
+++ b/yuccavalve/replicas/table.py
@@ -62,6 +62,14 @@
             if record.group == group and record.state is ReplicaState.SERVING
         ]
 
+    def serving_order(self) -> list[Replica]:
+        """Return all serving replicas in the order of their names."""
+        return [
+            self._records[name]
+            for name in sorted(self._records)
+            if self._records[name].state is ReplicaState.SERVING
+        ]
+
     def get(self, replica: str) -> Replica | None:
         """Return a record by id."""
         return self._records.get(replica)
--- a/yuccavalve/replicas/traces.py
+++ b/yuccavalve/replicas/traces.py
@@ -49,6 +49,7 @@
 _RESTART_S = (180.0, 900.0)
 _REPAIR_S = 30.0
 _DARK_SPAN = (0.2, 0.8)
+_COUNTED = frozenset((ReplicaState.LOADING, ReplicaState.SERVING))
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
 
@@ -163,6 +164,7 @@
         self._incarnation = 0
         self._now_s: float = 0
         self._changed = True
+        self._short_since_s: dict[str, float] = {}
 
     def run(self, settle_s: float) -> ReplayFigures:
         """Replay; nothing counts until the first replicas have settled."""
@@ -170,7 +172,7 @@
         while self._now_s < self._head.until_s:
             self._take_events()
             self._detect()
-            if self._changed:
+            if self._changed or self._short_since_s:
                 self._changed = False
                 for move in self._planner.plan(self._facts()):
                     self._apply(move)
@@ -244,8 +246,26 @@
             groups=self._head.groups,
             wanted=self._wanted,
             max_loading=self._head.max_loading,
+            missing_s=self._missing_s(),
+            load_s=self._head.load_s,
         )
 
+    def _missing_s(self) -> dict[str, float]:
+        have = Counter(
+            slot.record.group
+            for slot in self._slots.values()
+            if slot.record.state in _COUNTED
+        )
+        self._short_since_s = {
+            name: self._short_since_s.get(name, self._now_s)
+            for name, wanted in self._wanted.items()
+            if have[name] < wanted
+        }
+        return {
+            name: self._now_s - since_s
+            for name, since_s in self._short_since_s.items()
+        }
+
     def _apply(self, move: Move) -> None:
         self._changed = True
         match move:
--- a/yuccavalve/requests/admit.py
+++ b/yuccavalve/requests/admit.py
@@ -20,6 +20,7 @@
 
 
 _WAIT_MAX_S = 60.0
+_LEAST_SERVICE = 0.5
 
 
 @attrs.define(eq=False)
@@ -29,8 +30,13 @@
     queue: FairQueue
     in_flight: int = 0
     tokens_per_s: float = 0
+    service_s: Counter[str] = attrs.field(factory=Counter)
     waiters: dict[Ticket, asyncio.Future[None]] = attrs.field(factory=dict)
 
+    def least_service_s(self, ticket: Ticket) -> float:
+        """Return a time that few requests of a class are served in."""
+        return self.service_s[ticket.request_class] * _LEAST_SERVICE
+
 
 class Admission:
     """Turns of one daemon, group by group."""
@@ -52,6 +58,10 @@
         self._pools: dict[str, _Pool] = {}
         self._tokens_by_workspace: Counter[str] = Counter()
 
+    def now_s(self) -> float:
+        """Return the reading of the daemon's clock."""
+        return self._clock.now_s()
+
     def demand(self, group: str) -> int:
         """Return requests in flight and queued for a group."""
         pool = self._pools.get(group)
@@ -109,6 +119,9 @@
         if held_s > 0:
             rate = used_tokens / held_s * max(1, pool.in_flight + 1)
             pool.tokens_per_s += SMOOTHING * (rate - pool.tokens_per_s)
+            earlier_s = pool.service_s[ticket.request_class]
+            step_s = SMOOTHING * (held_s - earlier_s)
+            pool.service_s[ticket.request_class] = earlier_s + step_s
         self._let_in(group)
 
     async def async_run(self) -> None:
@@ -120,7 +133,8 @@
                 self._let_in(group)
 
     def _expire(self, pool: _Pool) -> None:
-        for ticket in pool.queue.drop_expired(self._clock.now_s()):
+        now_s = self._clock.now_s()
+        for ticket in pool.queue.drop_expired(now_s, pool.least_service_s):
             waiter = pool.waiters.pop(ticket)
             refusal = self._refusal(ResultCode.DEADLINE_UNREACHABLE, pool)
             if not waiter.done():
@@ -168,14 +182,15 @@
             )
 
     def _check_wait(self, pool: _Pool, ticket: Ticket) -> None:
-        wait_s = self._wait_s(pool, ticket.request_class)
-        if self._clock.now_s() + wait_s > ticket.deadline_at_s:
+        wait_s = self._wait_s(pool, ticket)
+        ready_at_s = self._clock.now_s() + wait_s + pool.least_service_s(ticket)
+        if ready_at_s > ticket.deadline_at_s:
             raise self._refusal(ResultCode.DEADLINE_UNREACHABLE, pool)
 
-    def _wait_s(self, pool: _Pool, request_class: str) -> float:
+    def _wait_s(self, pool: _Pool, ticket: Ticket) -> float:
         if pool.tokens_per_s <= 0:
             return 0
-        return pool.queue.tokens_ahead(request_class) / pool.tokens_per_s
+        return pool.queue.tokens_ahead(ticket) / pool.tokens_per_s
 
     def _refusal(self, code: ResultCode, pool: _Pool) -> RequestRefusedError:
         rate = max(pool.tokens_per_s, 1)
@@ -210,6 +225,7 @@
         """Wait for a turn of the service's group."""
         group = admission_group(exchange)
         exchange.ticket = await self.admission.async_enter(group, exchange)
+        exchange.admitted_at_s = self.admission.now_s()
 
 
 def admission_group(exchange: Exchange) -> str:
--- a/yuccavalve/requests/models.py
+++ b/yuccavalve/requests/models.py
@@ -68,6 +68,7 @@
     at_most_once: bool = False
     streaming: bool = False
     deadline_at_s: float = 0
+    admitted_at_s: float = 0
     cost_tokens: int = 0
     prefix_key: str = ''
     ticket: Ticket | None = None
--- a/yuccavalve/requests/record.py
+++ b/yuccavalve/requests/record.py
@@ -46,7 +46,7 @@
                 admission_group(exchange),
                 exchange.ticket,
                 _used_tokens(exchange),
-                now_s - exchange.arrived_at_s,
+                now_s - exchange.admitted_at_s,
             )
         self.metrics.observe(_measured(exchange, now_s))
         _log(exchange, self.member)
