Mend digests of members never heard of

Cause: the age of a member never heard of is infinite, and turning it into a byte raised in every reply, so peers never met; script/demo showed it (three FAIL lines: one entry only, changes not accepted).

--- /dev/null
+++ b/tests/peers/test_exchange.py
@@ -0,0 +1,93 @@
+"""Digests say no more than what was surely true."""
+
+import unittest
+from random import Random
+
+from tests.support.builders import configuration, member, replica, voters
+from yuccavalve.clock import LogicalClock
+from yuccavalve.configuration import AdoptionState, Electorate
+from yuccavalve.membership import Roster
+from yuccavalve.peers import PeerState
+from yuccavalve.peers.exchange import AGE_UNIT_S, age_byte
+from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
+from yuccavalve.requests.slots import Demands
+
+_NAMES = ('a', 'bb', 'ccc')
+
+
+def _state(name: str, clock: LogicalClock, *, knows_all: bool) -> PeerState:
+    electorate = Electorate(voters(*_NAMES))
+    adoption = AdoptionState(name, configuration(5, electorate))
+    adoption.votes = True
+    table = ReplicaTable()
+    table.merge([replica('p1', 'h')], 0)
+    roster = Roster(member(name))
+    if knows_all:
+        roster.learn_all(member(each) for each in _NAMES)
+    return PeerState(
+        roster,
+        adoption,
+        GrantTable(),
+        table,
+        Demands(),
+        clock,
+        Random(1),
+    )
+
+
+class ExchangeTest(unittest.TestCase):
+    """Pulls between daemons that know more or less of each other."""
+
+    def setUp(self) -> None:
+        self.clock = LogicalClock(1000)
+        self.puller = _state('a', self.clock, knows_all=True)
+        self.peer = _state('bb', self.clock, knows_all=True)
+
+    def _pull(self, delay_s: float = 0) -> None:
+        sent_at_s = self.clock.now_s()
+        reply = self.peer.reply(self.puller.request())
+        self.clock.advance(delay_s)
+        self.puller.read(reply, sent_at_s)
+
+    def test_members_never_heard_of(self) -> None:
+        self._pull()
+        self.assertTrue(self.puller.roster.is_alive('bb-boot', 1000))
+        self.assertFalse(self.puller.roster.is_alive('ccc-boot', 1000))
+
+    def test_news_passes_on_no_younger(self) -> None:
+        self.peer.roster.hear('ccc-boot', 998)
+        self._pull(delay_s=1)
+        heard_at_s = self.puller.roster.heard_at('ccc-boot')
+        self.assertLessEqual(heard_at_s, 998)
+        self.assertGreater(heard_at_s, 998 - 2 * AGE_UNIT_S)
+
+    def test_grants_pass_on_no_younger(self) -> None:
+        self.peer.grants.offer(Grant('p1', 1, 997, 3))
+        self._pull(delay_s=1)
+        grant = self.puller.grants.current('p1', 1, 1001)
+        self.assertIsNotNone(grant)
+        self.assertLessEqual(grant.at_s if grant else 1001, 997)
+
+    def test_strangers_are_introduced(self) -> None:
+        stranger = _state('a', self.clock, knows_all=False)
+        reply = self.peer.reply(stranger.request())
+        wanted = stranger.read(reply, 1000)
+        self.assertTrue(wanted.members)
+        description = self.peer.describe(stranger.describe_request())
+        stranger.read_description(description)
+        self.assertIsNotNone(stranger.roster.by_member('bb-boot'))
+
+    def test_voter_that_restarted_gives_no_evidence(self) -> None:
+        self.peer.adoption.votes = False
+        self._pull()
+        self.assertFalse(self.puller.adoption.is_fresh(1000))
+        self.peer.adoption.votes = True
+        self._pull()
+        self.assertTrue(self.puller.adoption.is_fresh(1000))
+
+    def test_ages_round_up_and_end(self) -> None:
+        self.assertEqual(age_byte(0), 1)
+        self.assertEqual(age_byte(float('inf')), 0)
+        self.assertEqual(age_byte(AGE_UNIT_S * 300), 0)
+        for age_s in (0.01, 1.0, 7.3):
+            self.assertGreaterEqual(age_byte(age_s) * AGE_UNIT_S, age_s)
--- a/yuccavalve/peers/exchange.py
+++ b/yuccavalve/peers/exchange.py
@@ -370,8 +370,9 @@
 
 def age_byte(age_s: float) -> int:
     """Return an age in units of a byte, rounded up; 0 when it is too old."""
-    units = int(max(0, age_s) / AGE_UNIT_S) + 1
-    return units if units <= _BYTE_MAX else 0
+    if age_s >= AGE_UNIT_S * (_BYTE_MAX - 1):
+        return 0
+    return int(max(0, age_s) / AGE_UNIT_S) + 1
 
 
 def _age_ms(age_s: float) -> int:
