--- a/yuccavalve/cli/main.py
+++ b/yuccavalve/cli/main.py
@@ -18,6 +18,7 @@
     workspaces,
 )
 from yuccavalve.cli.output import print_json, print_rows
+from yuccavalve.cli.report import reports
 from yuccavalve.cli.standins import standins
 from yuccavalve.exceptions import SettingsInvalidError
 from yuccavalve.settings import Settings, load_settings
@@ -40,6 +41,7 @@
 application.add_typer(workspaces, name='workspace')
 application.add_typer(members, name='member')
 application.add_typer(standins, name='standin')
+application.add_typer(reports, name='report')
 
 
 def main() -> None:
--- a/yuccavalve/configuration/codec.py
+++ b/yuccavalve/configuration/codec.py
@@ -135,10 +135,18 @@
         raise ConfigurationInvalidError(
             f'{path}.addresses: expected one address or more',
         )
+    _check_objective(path, service)
     for address in service.addresses:
         _check_backend_address(path, address)
 
 
+def _check_objective(path: str, service: Service) -> None:
+    if not 0 < service.good_share < 1:
+        raise ConfigurationInvalidError(
+            f'{path}.good_share: expected more than 0 and less than 1',
+        )
+
+
 def _check_backend_address(path: str, address: str) -> None:
     host, _, port = address.rpartition(':')
     try:
--- a/yuccavalve/configuration/models.py
+++ b/yuccavalve/configuration/models.py
@@ -47,12 +47,17 @@
         The group behind a model service.
     addresses
         The backend servers of a plain service.
+    good_share, first_byte_ms, between_events_ms
+        The objective: the share of requests to be answered in time.
     """
 
     name: str
     kind: str
     group: str = ''
     addresses: tuple[str, ...] = ()
+    good_share: float = 0.95
+    first_byte_ms: float = 1900
+    between_events_ms: float = 74
 
 
 @attrs.frozen
--- a/yuccavalve/daemon/application.py
+++ b/yuccavalve/daemon/application.py
@@ -155,6 +155,7 @@
             self.picker,
             node.scores,
             self.metrics,
+            node.samples,
             canceller,
             node.clock,
             node.own.member,
--- a/yuccavalve/daemon/duty_loop.py
+++ b/yuccavalve/daemon/duty_loop.py
@@ -26,6 +26,9 @@
     async def async_run_once(self, lease: Lease) -> None:
         """Do one round under the lease."""
 
+    def lapse(self) -> None:
+        """Forget what only a holder may know; called while not held."""
+
 
 class DutyLoop:
     """Contends for one lease and runs its duty."""
@@ -63,6 +66,8 @@
         await self._async_contend()
         if self.lease.is_held(self._node.clock.now_s()):
             await self._duty.async_run_once(self.lease)
+        else:
+            self._duty.lapse()
 
     async def _async_contend(self) -> None:
         now_s = self._node.clock.now_s()
--- a/yuccavalve/daemon/electorate_duty.py
+++ b/yuccavalve/daemon/electorate_duty.py
@@ -47,6 +47,11 @@
         if committed is not None:
             await async_push_configuration(node, committed)
 
+    def lapse(self) -> None:
+        """Forget since when members were seen or missing."""
+        self._since_s = {}
+        self._missing_since_s = {}
+
     def _joined(self, now_s: float) -> list[Member]:
         entries = self.node.roster.entries(now_s)
         names = {member.name for member in entries}
--- a/yuccavalve/daemon/node.py
+++ b/yuccavalve/daemon/node.py
@@ -17,9 +17,11 @@
 from yuccavalve.configuration import AdoptionState, ConfigurationStore
 from yuccavalve.load import ReplicaScores
 from yuccavalve.membership import Member, MemberRegistry, Roster
+from yuccavalve.observability.samples import BurnSamples
 from yuccavalve.peers import PeerClient, PeerState
 from yuccavalve.ports import EnginePort, HostList, ObjectStore, TableStore
 from yuccavalve.replicas import GrantTable, ReplicaStore, ReplicaTable
+from yuccavalve.replicas.usage import ReplicaUsage
 from yuccavalve.requests.slots import Demands
 from yuccavalve.settings import Settings
 
@@ -77,6 +79,8 @@
     registry: MemberRegistry
     replica_store: ReplicaStore
     engine_caller: HttpCaller
+    samples: BurnSamples = attrs.field(factory=BurnSamples)
+    usage: ReplicaUsage = attrs.field(factory=ReplicaUsage)
     stopping: bool = False
     refusing: bool = False
 
--- a/yuccavalve/daemon/planner_duty.py
+++ b/yuccavalve/daemon/planner_duty.py
@@ -70,12 +70,21 @@
         node = self.node
         await self._async_list_hosts()
         records = await node.replica_store.async_list()
-        node.replicas.merge(records, node.clock.now_s())
+        now_s = node.clock.now_s()
+        node.replicas.merge(records, now_s)
+        wanted = node.adoption.configuration.document.wanted_replicas()
+        node.usage.note(records, wanted, now_s)
         await asyncio.gather(
             *(self._async_follow(lease, term, record) for record in records),
         )
         await self._async_plan(lease, term)
 
+    def lapse(self) -> None:
+        """Forget what another holder may have changed."""
+        self.node.usage.pause()
+        self._missing_since_s = {}
+        self._short_since_s = {}
+
     async def _async_list_hosts(self) -> None:
         try:
             listings = await self.node.platform.hosts.async_list()
--- a/yuccavalve/operators/endpoints.py
+++ b/yuccavalve/operators/endpoints.py
@@ -22,7 +22,7 @@
     RevisionConflictError,
     StoreUnavailableError,
 )
-from yuccavalve.operators.status import status_document
+from yuccavalve.operators.status import burn_document, status_document
 from yuccavalve.results import ResultCode, http_status
 
 __all__ = ('OperatorEndpoints',)
@@ -47,6 +47,7 @@
             'changes': self._async_change,
             'status': self._async_status,
             'retire': self._async_retire,
+            'burn': self._async_burn,
         }
         return [
             Route(
@@ -91,6 +92,9 @@
     async def _async_status(self, body: Any) -> Response:
         return JSONResponse(status_document(self._node))
 
+    async def _async_burn(self, body: Any) -> Response:
+        return JSONResponse(burn_document(self._node))
+
     async def _async_change(self, body: Any) -> Response:
         edit = cattrs.structure(body['edit'], Edit)
         change = Change(
--- a/yuccavalve/operators/status.py
+++ b/yuccavalve/operators/status.py
@@ -2,10 +2,13 @@
 
 from typing import Any
 
+import attrs
+
 from yuccavalve.daemon.node import Node
+from yuccavalve.observability.burn import objective_of
 from yuccavalve.replicas import Replica
 
-__all__ = ('status_document',)
+__all__ = ('burn_document', 'status_document')
 
 
 def status_document(node: Node) -> dict[str, Any]:
@@ -30,6 +33,28 @@
     }
 
 
+def burn_document(node: Node) -> dict[str, Any]:
+    """Return what the burn report needs of this daemon; times are ages."""
+    now_s = node.clock.now_s()
+    samples = node.samples.samples(now_s)
+    services = node.adoption.configuration.document.services
+    classes = {(each.service, each.request_class) for each in samples}
+    return {
+        'objectives': [
+            attrs.asdict(objective_of(service, name))
+            for service in services
+            for service_name, name in sorted(classes)
+            if service_name == service.name
+        ],
+        'samples': [
+            {**attrs.asdict(each), 'at_s': each.at_s - now_s}
+            for each in samples
+        ],
+        'downtime_by_cause_s': dict(node.usage.downtime_by_cause_s),
+        'stranded_host_s': node.usage.stranded_host_s,
+    }
+
+
 def _members(node: Node, now_s: float) -> list[dict[str, Any]]:
     rows = []
     for member in node.roster.members():
--- /dev/null
+++ b/yuccavalve/replicas/usage.py
@@ -0,0 +1,63 @@
+"""Count group downtime and stranded hosts while the planner runs."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from yuccavalve.replicas.models import Replica, ReplicaState
+
+__all__ = ('ReplicaUsage',)
+
+_WAITING = 'waiting'
+
+
+@attrs.define
+class ReplicaUsage:
+    """What the users measure, as the holder of the planner's lease saw it."""
+
+    downtime_by_cause_s: Counter[str] = attrs.field(factory=Counter)
+    stranded_host_s: float = 0
+    _noted_at_s: float | None = None
+
+    def pause(self) -> None:
+        """Stop to count; another member holds the lease."""
+        self._noted_at_s = None
+
+    def note(
+        self,
+        records: Iterable[Replica],
+        wanted: Mapping[str, int],
+        now_s: float,
+    ) -> None:
+        """Count the time since the last call under the present states."""
+        earlier_s = self._noted_at_s
+        self._noted_at_s = now_s
+        if earlier_s is None:
+            return
+        step_s = now_s - earlier_s
+        held = list(records)
+        for record in held:
+            if record.state is not ReplicaState.SERVING:
+                self.stranded_host_s += step_s * len(record.hosts)
+        for group, count in wanted.items():
+            own = [each for each in held if each.group == group]
+            self._note_group(own, count, step_s)
+
+    def _note_group(
+        self,
+        own: list[Replica],
+        wanted: int,
+        step_s: float,
+    ) -> None:
+        others = [
+            record.state.value
+            for record in own
+            if record.state is not ReplicaState.SERVING
+        ]
+        missing = max(0, wanted - (len(own) - len(others)))
+        for cause in others[:missing]:
+            self.downtime_by_cause_s[cause] += step_s
+        waiting = max(0, missing - len(others))
+        if waiting:
+            self.downtime_by_cause_s[_WAITING] += waiting * step_s
--- a/yuccavalve/requests/record.py
+++ b/yuccavalve/requests/record.py
@@ -5,7 +5,9 @@
 
 from yuccavalve.clock import Clock
 from yuccavalve.load import ReplicaScores
+from yuccavalve.observability.burn import objective_of
 from yuccavalve.observability.metrics import Measured, Metrics
+from yuccavalve.observability.samples import BurnSamples
 from yuccavalve.requests.admit import Admission, admission_group
 from yuccavalve.requests.const import CONTENT_EVENTS, CONTENT_JSON
 from yuccavalve.requests.deduplicate import ledger_id
@@ -29,6 +31,7 @@
     picker: ReplicaPicker
     scores: ReplicaScores
     metrics: Metrics
+    samples: BurnSamples
     canceller: Canceller
     clock: Clock
     member: str
@@ -48,7 +51,11 @@
                 _used_tokens(exchange),
                 now_s - exchange.admitted_at_s,
             )
-        self.metrics.observe(_measured(exchange, now_s))
+        measured = _measured(exchange, now_s)
+        self.metrics.observe(measured)
+        if exchange.service is not None:
+            objective = objective_of(exchange.service, exchange.request_class)
+            self.samples.note(objective, measured, now_s)
         _log(exchange, self.member)
         if exchange.ledger_entry is not None:
             await self._async_set_ledger(exchange)
