--- a/script/tools/bench.py
+++ b/script/tools/bench.py
@@ -10,6 +10,7 @@
 
 _BENCHES = {
     'spread': 'how news spreads among 380 daemons, logical clock',
+    'slopes': 'memory a stream, processor time a request, plan time',
     'relay': 'processor time a token against a splice',
     'load': 'routing, fairness and retries against baselines',
     'membership': 'control cost of 4 to 64 daemons as processes',
--- /dev/null
+++ b/script/tools/benches/slopes.py
@@ -0,0 +1,128 @@
+"""Slopes of one daemon: memory a stream, processor time a request.
+
+Fits are least squares over the measured points; the error is the largest
+distance of a point from its line, over the largest value.
+"""
+
+import asyncio
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from script.tools.benches.relay import _Bench
+from yuccavalve.configuration import Group
+from yuccavalve.replicas import PlanHost, PlanInput, SpanPlanner
+
+__all__ = ('async_slopes', 'fit')
+
+_STREAMS = (0, 200, 400, 800)
+_REQUESTS = (100, 200, 400, 800)
+_PLANS = (52, 210, 420, 840)
+_SPAN = 16
+_SLOW_S = 0.2
+
+
+def fit(points: Sequence[tuple[float, float]]) -> dict[str, float]:
+    """Return slope, intercept and error of a line through points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    over = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    under = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = over / under
+    intercept = mean_y - slope * mean_x
+    worst = max(abs(y - intercept - slope * x) for x, y in points)
+    return {
+        'slope': round(slope, 6),
+        'intercept': round(intercept, 4),
+        'error': round(worst / max(abs(y) for _, y in points), 3),
+    }
+
+
+def _memory_mb(pid: int) -> float:
+    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('VmRSS'):
+            return int(line.split()[1]) / 1024
+    return 0
+
+
+async def _async_memory(bench: _Bench, daemon: Any) -> list[list[float]]:
+    points = []
+    for streams in _STREAMS:
+        if streams:
+            callers = asyncio.create_task(
+                bench.async_callers(daemon.address, streams, _SLOW_S),
+            )
+            await asyncio.sleep(5)
+        points.append([streams, _memory_mb(daemon.popen.pid)])
+        if streams:
+            await callers
+    return points
+
+
+async def _async_requests(bench: _Bench, daemon: Any) -> list[list[float]]:
+    """Measure processor time of short requests, one after the other."""
+    points = []
+    for count in _REQUESTS:
+        cpu_s = daemon.cpu_s()
+        began_s = time.monotonic()
+        await bench.async_callers(
+            daemon.address,
+            count,
+            0.001,
+            '--in-turn',
+            '--tokens',
+            '1',
+        )
+        took_s = time.monotonic() - began_s
+        points.append([count, daemon.cpu_s() - cpu_s, took_s])
+    return points
+
+
+def _plan_s(count: int) -> float:
+    hosts = {
+        f'h{number}': PlanHost(f'h{number}', 'a', f'd{number // 48}')
+        for number in range(count * _SPAN)
+    }
+    facts = PlanInput(
+        hosts=hosts,
+        replicas=(),
+        groups=(Group('pool', 'm', _SPAN),),
+        wanted={'pool': count},
+        max_loading=count,
+    )
+    began_s = time.perf_counter()
+    moves = SpanPlanner().plan(facts)
+    took_s = time.perf_counter() - began_s
+    if len(moves) != count:
+        raise RuntimeError(f'{len(moves)} of {count} replicas planned')
+    return took_s
+
+
+async def async_slopes(seed: int) -> dict[str, Any]:
+    """Measure one daemon and the planner."""
+    bench = _Bench(seed, 6)
+    try:
+        _, daemon = await bench.async_start_daemon(60)
+        idle_cpu_s = daemon.cpu_s()
+        await asyncio.sleep(10)
+        idle_share = (daemon.cpu_s() - idle_cpu_s) / 10
+        requests = await _async_requests(bench, daemon)
+        memory = await _async_memory(bench, daemon)
+    finally:
+        await bench.async_close()
+    net = [
+        (count, cpu_s - idle_share * took_s)
+        for count, cpu_s, took_s in requests
+    ]
+    plans = [(count, _plan_s(count)) for count in _PLANS]
+    return {
+        'idle_core_share': round(idle_share, 4),
+        'memory_mb_by_streams': {
+            'points': memory,
+            'fit': fit([(x, y) for x, y in memory]),
+        },
+        'cpu_s_by_requests': {'points': net, 'fit': fit(net)},
+        'plan_s_by_replicas': {'points': plans, 'fit': fit(plans)},
+    }
