Forward raw paths, HEAD answers and stored statuses; number every refusal

Found by reading the chain again: a decoded path went to the backend server, so that %0d%0a could have begun a new header line; HEAD answers waited for a body; the query of a plain call hid its service's name; a stored answer lost its status; a refusal before the body was read could be reset on its way; a daemon that gave its lease up went on planning until the lease's end (its transactions were fenced).

--- a/tests/membership/test_duties.py
+++ b/tests/membership/test_duties.py
@@ -2,10 +2,17 @@
 
 import unittest
 
+import attrs
+
 from tests.support.builders import member, voters
 from yuccavalve.configuration import Electorate
 from yuccavalve.const import DUTY_LEASE_S, LEASE_MARGIN_S
-from yuccavalve.membership import Lease, LeaseStep, next_electorate
+from yuccavalve.membership import (
+    Lease,
+    LeaseStep,
+    Roster,
+    next_electorate,
+)
 from yuccavalve.ports import Row
 
 
@@ -89,3 +96,21 @@
             gone={'a'},
         )
         self.assertIsNone(proposed)
+
+
+class RosterTest(unittest.TestCase):
+    """Suspicion waits longer where news comes less often."""
+
+    def test_patience_grows_with_members(self) -> None:
+        roster = Roster(member('a'))
+        few_s = roster.patience_s()
+        roster.learn_all(member(f'm{number}') for number in range(380))
+        self.assertGreater(roster.patience_s(), few_s + 30)
+
+    def test_leaving_is_not_forgotten(self) -> None:
+        roster = Roster(member('a'))
+        roster.learn(attrs.evolve(member('b'), leaving=True))
+        roster.learn(member('b'))
+        roster.hear('b-boot', 100)
+        names = [each.name for each in roster.entries(100)]
+        self.assertEqual(names, ['a'])
--- a/tests/sessions/test_requests.py
+++ b/tests/sessions/test_requests.py
@@ -193,8 +193,23 @@
         )
         runs = await self.cluster.async_admin('portal', '/admin/runs', {})
         self.assertEqual(runs['letter-1'], 1)
+        await self._async_methods_and_paths()
         self.assertTrue(any(answer.code == 1000 for answer in answers))
 
+    async def _async_methods_and_paths(self) -> None:
+        address = self.address('e0')
+        split = '/v1/services/portal/a%0d%0ax:%20y'
+        answer = await self.caller.async_call(address, 'GET', split)
+        self.assertEqual(answer.code, 4009)
+        path = '/v1/services/portal/a%20b%2Fc?c=1'
+        answer = await self.caller.async_call(address, 'GET', path)
+        self.assertEqual(answer.code, 1000, answer)
+        self.assertEqual(answer.body['path'], '/a b/c')
+        self.assertEqual(answer.body['query'], 'c=1')
+        head = await self.caller.async_call(address, 'HEAD', path)
+        self.assertEqual(head.status, 200)
+        self.assertEqual(head.code, 1000)
+
 
 class RefusalTest(SessionTest):
     """Bad input gets its number and disturbs no one."""
--- a/yuccavalve/adapters/backend.py
+++ b/yuccavalve/adapters/backend.py
@@ -32,6 +32,7 @@
 _POOL_SIZE = 8192
 _CONNECT_S = 1.5
 _EMPTY_POLLS = 6
+_NO_BODY = frozenset((204, 304))
 
 
 class BackendNotReachedError(Exception):
@@ -89,7 +90,7 @@
         True once the framing has told the end of the body.
     """
 
-    def __init__(self, response: Any) -> None:
+    def __init__(self, response: Any, method: str) -> None:
         """Take over the connection of the library's response."""
         self.status: int = response.status_code
         self.headers: Mapping[str, str] = response.headers
@@ -110,7 +111,10 @@
         self._ticks: Ticks | None = None
         self._polled = False
         self._drained = False
-        self._begin()
+        if method == 'HEAD' or self.status in _NO_BODY:
+            self.complete = True
+        else:
+            self._begin()
 
     async def async_read(self) -> bytes:
         """Return the next part of the body; empty once it has ended.
@@ -250,7 +254,7 @@
             timeouts=Timeouts(_CONNECT_S, limit_s, None, limit_s),
         )
         try:
-            return BackendStream(await request)
+            return BackendStream(await request, call.method)
         except (ConnectionRefusedError, ConnectTimeout) as error:
             raise BackendNotReachedError(repr(error)) from error
         except EXCHANGE_ERRORS as error:
--- a/yuccavalve/daemon/application.py
+++ b/yuccavalve/daemon/application.py
@@ -11,6 +11,7 @@
 from yuccavalve.access import bearer_key, find_workspace, keys_equal
 from yuccavalve.adapters.backend import BackendClient
 from yuccavalve.adapters.http import CallFailedError
+from yuccavalve.const import HEADER_RESULT
 from yuccavalve.daemon.node import Node
 from yuccavalve.load import RetryBudget
 from yuccavalve.observability import Metrics
@@ -34,6 +35,8 @@
 __all__ = ('RequestServer',)
 
 _MS = 1000
+_NOT_FOUND = 404
+_NOT_ALLOWED = 405
 _METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'DELETE', 'OPTIONS', 'PATCH')
 
 
@@ -183,6 +186,10 @@
                     methods=list(_METHODS),
                 ),
             ],
+            exception_handlers={
+                _NOT_FOUND: _async_unknown_path,
+                _NOT_ALLOWED: _async_unknown_path,
+            },
         )
 
     async def _async_health(self, request: Request) -> Response:
@@ -239,9 +246,17 @@
         return self._node.adoption.version
 
 
+async def _async_unknown_path(request: Request, error: Exception) -> Response:
+    return _refusal(ResultCode.PATH_UNKNOWN)
+
+
 def _unauthenticated() -> Response:
-    code = ResultCode.UNAUTHENTICATED
+    return _refusal(ResultCode.UNAUTHENTICATED)
+
+
+def _refusal(code: ResultCode) -> Response:
     return JSONResponse(
         {'error': {'code': int(code), 'name': code.name}},
         http_status(code),
+        {HEADER_RESULT: str(int(code))},
     )
--- a/yuccavalve/daemon/planner_duty.py
+++ b/yuccavalve/daemon/planner_duty.py
@@ -74,6 +74,7 @@
         node.replicas.merge(records, now_s)
         wanted = node.adoption.configuration.document.wanted_replicas()
         node.usage.note(records, wanted, now_s)
+        self._forget_except({record.replica for record in records})
         await asyncio.gather(
             *(self._async_follow(lease, term, record) for record in records),
         )
@@ -85,6 +86,18 @@
         self._missing_since_s = {}
         self._short_since_s = {}
 
+    def _forget_except(self, replicas: set[str]) -> None:
+        self._since_s = {
+            key: since_s
+            for key, since_s in self._since_s.items()
+            if key[0] in replicas
+        }
+        self._missing_since_s = {
+            key: since_s
+            for key, since_s in self._missing_since_s.items()
+            if key.partition('/')[0] in replicas
+        }
+
     async def _async_list_hosts(self) -> None:
         try:
             listings = await self.node.platform.hosts.async_list()
--- a/yuccavalve/membership/duties.py
+++ b/yuccavalve/membership/duties.py
@@ -117,6 +117,7 @@
         """Return the transaction that gives the lease up, if it is held."""
         if not self._is_own():
             return None
+        self.held_until_s = _NEVER_S
         return Transaction(
             (Condition(self.key, _version(self._row)),),
             (Write(self.key, None),),
--- a/yuccavalve/membership/roster.py
+++ b/yuccavalve/membership/roster.py
@@ -6,7 +6,11 @@
 import attrs
 import xxhash
 
-from yuccavalve.const import DIGEST_MEMBERS, PEER_SUSPECT_S
+from yuccavalve.const import (
+    DIGEST_MEMBERS,
+    PEER_SUSPECT_S,
+    SUSPECT_PER_MEMBER_S,
+)
 from yuccavalve.membership.models import Member
 
 __all__ = ('Roster',)
@@ -57,7 +61,15 @@
         if member == self.own.member:
             return True
         heard_at_s = self._heard_at_s.get(member, _NEVER_S)
-        return now_s - heard_at_s <= self.suspect_s
+        return now_s - heard_at_s <= self.patience_s()
+
+    def patience_s(self) -> float:
+        """Return the time without news after which a member is suspected.
+
+        News of each member comes less often the more members there are,
+        since digests don't grow with them.
+        """
+        return self.suspect_s + SUSPECT_PER_MEMBER_S * len(self._members)
 
     def heard_at(self, member: str) -> float:
         """Return when a member was last known to be alive."""
--- a/yuccavalve/requests/deduplicate.py
+++ b/yuccavalve/requests/deduplicate.py
@@ -93,6 +93,7 @@
             answer,
             found.content_type,
             {HEADER_DUPLICATE: 'true'},
+            found.status,
         )
 
 
--- a/yuccavalve/requests/gate.py
+++ b/yuccavalve/requests/gate.py
@@ -81,6 +81,8 @@
             rest = exchange.path.removeprefix(SERVICES_PREFIX)
             name, _, path = rest.partition('/')
             exchange.backend_path = f'/{path}'
+            if exchange.query:
+                exchange.backend_path = f'/{path}?{exchange.query}'
         else:
             name = requested_model(exchange)
             exchange.backend_path = exchange.path
--- a/yuccavalve/requests/models.py
+++ b/yuccavalve/requests/models.py
@@ -46,6 +46,7 @@
     request_id: str
     member: str
     content_type: str = ''
+    status: int = 200
 
 
 @attrs.define(eq=False)
@@ -55,6 +56,7 @@
     request_id: str
     method: str
     path: str
+    query: str
     headers: dict[str, str]
     receive: Receive
     send: Send
@@ -78,6 +80,8 @@
     incarnation: int = 0
     attempt: int = 0
     stream: BackendStream | None = None
+    backend_status: int = 200
+    content_type: str = ''
     began: bool = False
     responded: bool = False
     events: int = 0
--- a/yuccavalve/requests/pipeline.py
+++ b/yuccavalve/requests/pipeline.py
@@ -22,6 +22,7 @@
 __all__ = ('RequestPipeline',)
 
 _DISCARD_BYTES = 33554432
+_DISCARD_S = 5.0
 
 
 class RequestPipeline:
@@ -86,14 +87,13 @@
             for name, text in scope['headers']
         }
         headers[HEADER_DAEMON] = self._member
-        path = scope['path']
-        query = scope.get('query_string', b'')
-        if query:
-            path = f'{path}?{query.decode("latin-1")}'
+        # The raw path goes on as it came: a decoded one could hold line ends.
+        path = scope['raw_path'].decode('latin-1')
         return Exchange(
             request_id=uuid.uuid4().hex,
             method=scope['method'],
             path=path,
+            query=scope.get('query_string', b'').decode('latin-1'),
             headers=headers,
             receive=receive,
             send=send,
@@ -141,8 +141,11 @@
             else:
                 entries = self._entries(outcome)
                 await async_respond_outcome(exchange, outcome, entries)
-                if outcome.code is ResultCode.BODY_TOO_LARGE:
-                    await _async_discard_body(exchange)
+                if not exchange.body_read.is_set():
+                    await asyncio.wait_for(
+                        _async_discard_body(exchange),
+                        _DISCARD_S,
+                    )
         except (OSError, RuntimeError) as error:
             logging.info(
                 'request=%s caller left: %s',
--- a/yuccavalve/requests/record.py
+++ b/yuccavalve/requests/record.py
@@ -9,7 +9,6 @@
 from yuccavalve.observability.metrics import Measured, Metrics
 from yuccavalve.observability.samples import BurnSamples
 from yuccavalve.requests.admit import Admission, admission_group
-from yuccavalve.requests.const import CONTENT_EVENTS, CONTENT_JSON
 from yuccavalve.requests.deduplicate import ledger_id
 from yuccavalve.requests.dispatch import Canceller
 from yuccavalve.requests.ledger import Ledger
@@ -77,12 +76,13 @@
             answer = b''.join(exchange.kept or ())
         elif isinstance(exchange.outcome, NotRun):
             state = LedgerState.NOT_RUN
-        content_type = CONTENT_EVENTS if exchange.streaming else CONTENT_JSON
-        await self.ledger.async_finish(
-            ledger_id(exchange),
-            attrs.evolve(entry, state=state, content_type=content_type),
-            answer,
+        finished = attrs.evolve(
+            entry,
+            state=state,
+            content_type=exchange.content_type,
+            status=exchange.backend_status,
         )
+        await self.ledger.async_finish(ledger_id(exchange), finished, answer)
 
 
 def _measured(exchange: Exchange, now_s: float) -> Measured:
--- a/yuccavalve/requests/relay.py
+++ b/yuccavalve/requests/relay.py
@@ -18,6 +18,7 @@
 from yuccavalve.exceptions import RequestRefusedError
 from yuccavalve.replicas import GrantTable
 from yuccavalve.requests.const import (
+    CONTENT_EVENTS,
     CONTENT_JSON,
     EVENT_END,
     MAX_ANSWER_BYTES,
@@ -185,10 +186,16 @@
         if exchange.kept is not None:
             exchange.kept.append(body)
         exchange.outcome = Answered()
+        exchange.backend_status = stream.status
+        exchange.content_type = stream.headers.get(
+            'content-type',
+            CONTENT_EVENTS,
+            CONTENT_JSON,
+        )
         await async_respond(
             exchange,
             body,
-            stream.headers.get('content-type', CONTENT_JSON),
+            exchange.content_type,
             status=stream.status,
         )
 
@@ -276,6 +283,7 @@
         if exchange.kept is not None:
             exchange.kept.append(part)
         exchange.outcome = Answered()
+        exchange.content_type = CONTENT_EVENTS
         await async_end_events(exchange, part)
 
     def _check_whole(self, exchange: Exchange) -> None:
--- a/yuccavalve/requests/respond.py
+++ b/yuccavalve/requests/respond.py
@@ -104,7 +104,7 @@
         CONTENT_JSON,
         headers,
         http_status(outcome.code),
-        hold=outcome.code is ResultCode.BODY_TOO_LARGE,
+        hold=not exchange.body_read.is_set(),
     )
 
 
--- a/yuccavalve/standin/plain.py
+++ b/yuccavalve/standin/plain.py
@@ -27,7 +27,7 @@
                 Route(
                     '/{path:path}',
                     self._async_echo,
-                    methods=['GET', 'POST', 'PUT', 'DELETE'],
+                    methods=['GET', 'HEAD', 'POST', 'PUT', 'DELETE'],
                 ),
             ],
         )
@@ -44,7 +44,8 @@
             {
                 'service': self._name,
                 'method': request.method,
-                'path': request.url.path,
+                'path': request.scope['path'],
+                'query': request.url.query,
                 'echo': body.decode(errors='replace'),
             },
         )
