--- a/yuccavalve/requests/relay.py
+++ b/yuccavalve/requests/relay.py
@@ -189,7 +189,6 @@
         exchange.backend_status = stream.status
         exchange.content_type = stream.headers.get(
             'content-type',
-            CONTENT_EVENTS,
             CONTENT_JSON,
         )
         await async_respond(
