--- a/script/tools/benches/planning.py
+++ b/script/tools/benches/planning.py
@@ -10,12 +10,9 @@
 from yuccavalve.replicas import PlanHost, PlanInput, SpanPlanner
 from yuccavalve.replicas.baseline import GreedyPlanner
 from yuccavalve.replicas.models import Planner
-from yuccavalve.replicas.traces import (
-    Replay,
-    ReplayFigures,
-    TraceHead,
-    day_trace,
-)
+from yuccavalve.replicas.replay import Replay, ReplayFigures
+from yuccavalve.replicas.trace_days import day_trace
+from yuccavalve.replicas.traces import TraceHead
 
 __all__ = ('async_planning', 'head_of')
 
--- a/tests/traces/test_planning.py
+++ b/tests/traces/test_planning.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 from yuccavalve.replicas import SpanPlanner
-from yuccavalve.replicas.traces import Replay, read_trace
+from yuccavalve.replicas.replay import Replay
+from yuccavalve.replicas.traces import read_trace
 
 _TRACES = Path(__file__).parent / 'planning'
 _SETTLE_S = 3600
--- a/yuccavalve/cli/report.py
+++ b/yuccavalve/cli/report.py
@@ -20,7 +20,8 @@
     report_text,
 )
 from yuccavalve.replicas import SpanPlanner
-from yuccavalve.replicas.traces import Replay, read_trace
+from yuccavalve.replicas.replay import Replay
+from yuccavalve.replicas.traces import read_trace
 
 __all__ = ('reports',)
 
--- a/yuccavalve/replicas/grants.py
+++ b/yuccavalve/replicas/grants.py
@@ -89,10 +89,6 @@
             if now_s - grant.at_s <= self.lifetime_s
         ]
 
-    def is_revoked(self, replica: str, incarnation: int) -> bool:
-        """Tell whether an incarnation was revoked."""
-        return incarnation <= self._revoked.get(replica, 0)
-
     def is_broken(self, replica: str) -> bool:
         """Tell whether a replica is known to have lost a host."""
         return replica in self._broken
--- /dev/null
+++ b/yuccavalve/replicas/trace_days.py
@@ -0,0 +1,78 @@
+"""Generate traces of a day with failures and replacements."""
+
+from collections.abc import Iterable
+from random import Random
+
+from yuccavalve.replicas.traces import TraceEvent, TraceHead
+
+__all__ = ('day_trace',)
+
+_HOUR_S = 3600.0
+_NOTICE_S = (120.0, 600.0)
+_RESTART_S = (180.0, 900.0)
+_REPAIR_S = 30.0
+_DARK_SPAN = (0.2, 0.8)
+
+
+def day_trace(
+    random: Random,
+    head: TraceHead,
+    *,
+    failures: int,
+    restarts: int,
+    dark_domain: bool = False,
+    preset: dict[str, int] | None = None,
+) -> list[TraceEvent]:
+    """Return a day of failures and replacements.
+
+    Parameters
+    ----------
+    random
+        Source of times and hosts.
+    head
+        Hosts and length of the day.
+    failures
+        Hosts that fail without warning and are gone for hours.
+    restarts
+        Hosts that leave on a schedule and come back within minutes.
+    dark_domain
+        Whether one fabric domain goes dark for half an hour.
+    preset
+        Replicas wanted from the middle of the day, in the repair of a
+        failure.
+    """
+    names = sorted(head.domains)
+    events: list[TraceEvent] = []
+    for _ in range(failures):
+        at_s = random.uniform(0, head.until_s)
+        host = (random.choice(names),)
+        back_s = at_s + random.uniform(2, 6) * _HOUR_S
+        events.append(TraceEvent(at_s, 'down', host))
+        events.append(TraceEvent(back_s, 'up', host))
+    for _ in range(restarts):
+        at_s = random.uniform(0, head.until_s)
+        host = (random.choice(names),)
+        gone_s = at_s + random.uniform(*_NOTICE_S)
+        events.append(TraceEvent(at_s, 'leaving', host))
+        events.append(TraceEvent(gone_s, 'down', host))
+        events.append(
+            TraceEvent(gone_s + random.uniform(*_RESTART_S), 'up', host),
+        )
+    if dark_domain:
+        events.extend(_dark_domain(random, head))
+    if preset is not None:
+        middle_s = head.until_s / 2
+        events.append(TraceEvent(middle_s - _REPAIR_S, 'down', (names[0],)))
+        events.append(TraceEvent(middle_s, 'preset', wanted=preset))
+        events.append(TraceEvent(middle_s + _HOUR_S, 'up', (names[0],)))
+    return sorted(events, key=lambda event: event.at_s)
+
+
+def _dark_domain(random: Random, head: TraceHead) -> Iterable[TraceEvent]:
+    domain = random.choice(sorted(set(head.domains.values())))
+    hosts = tuple(
+        name for name, place in head.domains.items() if place == domain
+    )
+    at_s = random.uniform(*_DARK_SPAN) * head.until_s
+    yield TraceEvent(at_s, 'down', hosts)
+    yield TraceEvent(at_s + _HOUR_S / 2, 'up', hosts)
--- a/yuccavalve/settings/const.py
+++ b/yuccavalve/settings/const.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-SECTION_ADDRESS_FIELDS: Final = ('caller_address', 'peer_address')
 MIN_PORT: Final = 0
 MAX_PORT: Final = 65535
 UNIT_SUFFIXES: Final = ('_s', '_ms', '_bytes', '_tokens')
--- a/yuccavalve/settings/models.py
+++ b/yuccavalve/settings/models.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from yuccavalve.const import FIRST_BYTE_S, MAX_BODY_BYTES, STREAM_IDLE_S
+
 __all__ = (
     'AccessSettings',
     'DaemonSettings',
@@ -58,11 +60,11 @@
 class LimitSettings:
     """Bounds on what one daemon takes in."""
 
-    max_body_bytes: int = 4194304
+    max_body_bytes: int = MAX_BODY_BYTES
     max_queued: int = 512
     max_in_flight: int = 1024
-    stream_idle_s: float = 10
-    first_byte_s: float = 30
+    stream_idle_s: float = STREAM_IDLE_S
+    first_byte_s: float = FIRST_BYTE_S
     merge_delay_ms: int = 60
     caller_stall_s: float = 30
 
