--- a/yuccavalve/daemon/verify_loop.py
+++ b/yuccavalve/daemon/verify_loop.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import Counter
 
 import attrs
 from absl import logging
@@ -70,7 +69,8 @@
     """Grants and revokes for the replicas that fall to this member."""
 
     node: Node
-    probes: Counter[str] = attrs.field(factory=Counter)
+    _live: list[str] = attrs.field(factory=list)
+    _mine: dict[str, bool] = attrs.field(factory=dict)
 
     async def async_run(self) -> None:
         """Verify until cancelled."""
@@ -81,7 +81,16 @@
                 logging.exception('verification round failed')
             await asyncio.sleep(jittered(self.node.random, PROBE_PERIOD_S))
 
+    def _note_live(self) -> None:
+        """Forget who verifies what when the live members change."""
+        now_s = self.node.clock.now_s()
+        live = [member.member for member in self.node.roster.live(now_s)]
+        if live != self._live:
+            self._live = live
+            self._mine = {}
+
     async def _async_round(self) -> None:
+        self._note_live()
         records = [
             record
             for record in self.node.replicas.all_records()
@@ -97,9 +106,12 @@
             await self._async_watch_hosts(records)
 
     def _falls_to_me(self, key: str, count: int) -> bool:
-        now_s = self.node.clock.now_s()
-        live = [member.member for member in self.node.roster.live(now_s)]
-        return self.node.own.member in rendezvous_order(key, live)[:count]
+        mine = self._mine.get(key)
+        if mine is None:
+            first = rendezvous_order(key, self._live)[:count]
+            mine = self.node.own.member in first
+            self._mine[key] = mine
+        return mine
 
     async def _async_verify(self, replica: Replica) -> None:
         node = self.node
--- a/yuccavalve/membership/roster.py
+++ b/yuccavalve/membership/roster.py
@@ -11,13 +11,33 @@
     PEER_SUSPECT_S,
     SUSPECT_PER_MEMBER_S,
 )
+from yuccavalve.hashing import tiny_id
 from yuccavalve.membership.models import Member
 
-__all__ = ('Roster',)
+__all__ = ('Roster', 'RosterIndex')
 
 _NEVER_S = float('-inf')
 
 
+@attrs.frozen
+class RosterIndex:
+    """What digests need of all known members.
+
+    Attributes
+    ----------
+    ids
+        Members' ids, in order.
+    digest
+        A hash over the ids.
+    by_tiny_id
+        Members by the short id that digests carry.
+    """
+
+    ids: list[str]
+    digest: int
+    by_tiny_id: dict[int, Member]
+
+
 @attrs.define
 class Roster:
     """Members known to one daemon.
@@ -30,13 +50,15 @@
     suspect_s: float = PEER_SUSPECT_S
     _members: dict[str, Member] = attrs.field(factory=dict)
     _heard_at_s: dict[str, float] = attrs.field(factory=dict)
+    _index: RosterIndex | None = None
 
     def learn(self, member: Member) -> None:
         """Add a member, or note that a known one is leaving."""
         known = self._members.get(member.member)
-        if known is not None and known.leaving:
+        if known == member or (known is not None and known.leaving):
             return
         self._members[member.member] = member
+        self._index = None
 
     def learn_all(self, members: Iterable[Member]) -> None:
         """Add members."""
@@ -55,6 +77,7 @@
             if name not in kept and not self.is_alive(name, now_s):
                 self._members.pop(name)
                 self._heard_at_s.pop(name, None)
+                self._index = None
 
     def is_alive(self, member: str, now_s: float) -> bool:
         """Tell whether a member was heard of within the suspicion time."""
@@ -107,13 +130,18 @@
         others = self.members()[1:]
         return random.sample(others, min(count, len(others)))
 
-    def ids(self) -> list[str]:
-        """Return the ids of all known members, in order."""
-        return sorted({*self._members, self.own.member})
-
-    def ids_digest(self) -> int:
-        """Return a hash over the ids of all known members."""
-        return xxhash.xxh64_intdigest(' '.join(self.ids()).encode())
+    def index(self) -> RosterIndex:
+        """Return the known members in order; made anew after a change."""
+        if self._index is None:
+            ids = sorted({*self._members, self.own.member})
+            self._index = RosterIndex(
+                ids=ids,
+                digest=xxhash.xxh64_intdigest(' '.join(ids).encode()),
+                by_tiny_id={
+                    tiny_id(member.member): member for member in self.members()
+                },
+            )
+        return self._index
 
     def sample(
         self,
--- a/yuccavalve/peers/exchange.py
+++ b/yuccavalve/peers/exchange.py
@@ -83,7 +83,7 @@
             member=tiny_id(self.roster.own.member),
             version=self.adoption.version,
             replicas_digest=self.table.digest(),
-            members_digest=self.roster.ids_digest(),
+            members_digest=self.roster.index().digest,
         )
         if introduce or self.roster.own.leaving:
             message.sender.CopyFrom(head_of(self.roster.own))
@@ -100,11 +100,11 @@
             replicas_digest=self.table.digest(),
             votes=self.adoption.votes,
             demand=self.own_demand(),
-            members_digest=self.roster.ids_digest(),
+            members_digest=self.roster.index().digest,
         )
         if request.HasField('sender'):
             self.roster.learn(member_of(request.sender))
-        message.introduce = request.member not in self._by_id()
+        message.introduce = request.member not in self.roster.index().by_tiny_id
         if request.HasField('sender') or message.introduce or own.leaving:
             message.sender.CopyFrom(head_of(own))
         store_age_s = now_s - self.adoption.store_at_s
@@ -132,7 +132,7 @@
                 reply.version,
                 sent_at_s - reply.store_age_ms / _MS,
             )
-        by_id = self._by_id()
+        by_id = self.roster.index().by_tiny_id
         sender = by_id.get(reply.member)
         if sender is not None:
             self._read_sender(sender, reply, sent_at_s)
@@ -168,11 +168,6 @@
         for head in reply.members:
             self.roster.learn(member_of(head))
 
-    def _by_id(self) -> dict[int, Member]:
-        return {
-            tiny_id(member.member): member for member in self.roster.members()
-        }
-
     def _add_members(
         self,
         message: peer_pb2.PullReply,
@@ -184,7 +179,7 @@
             message.members.extend(tiny_id(name) for name, _ in sample)
             message.member_ages = bytes(age_byte(age_s) for _, age_s in sample)
             return
-        names = self.roster.ids()
+        names = self.roster.index().ids
         message.member_index = self.random.randrange(len(names))
         message.member_ages = bytes(
             self._member_byte(name, now_s)
@@ -288,10 +283,10 @@
         return unknown
 
     def _read_run(self, reply: peer_pb2.PullReply, sent_at_s: float) -> None:
-        if reply.members_digest != self.roster.ids_digest():
+        if reply.members_digest != self.roster.index().digest:
             return
         length = len(reply.member_ages)
-        names = _run(self.roster.ids(), reply.member_index, length)
+        names = _run(self.roster.index().ids, reply.member_index, length)
         for name, age in zip(names, reply.member_ages, strict=True):
             if age:
                 self.roster.hear(name, sent_at_s - age * AGE_UNIT_S)
--- a/yuccavalve/replicas/table.py
+++ b/yuccavalve/replicas/table.py
@@ -19,6 +19,7 @@
 
     _records: dict[str, Replica] = attrs.field(factory=dict)
     _released_at_s: dict[str, float] = attrs.field(factory=dict)
+    _digest: int | None = None
 
     def merge(self, records: Iterable[Replica], now_s: float) -> None:
         """Take records that are further along than the known ones."""
@@ -27,6 +28,7 @@
             if known is not None and _rank(known) >= _rank(record):
                 continue
             self._records[record.replica] = record
+            self._digest = None
             if record.state is ReplicaState.RELEASED:
                 self._released_at_s[record.replica] = now_s
 
@@ -89,14 +91,17 @@
 
     def digest(self) -> int:
         """Return a hash over all records and states."""
-        text = ' '.join(str(mark) for mark in sorted(self.marks()))
-        return xxhash.xxh64_intdigest(text.encode())
+        if self._digest is None:
+            text = ' '.join(str(mark) for mark in sorted(self.marks()))
+            self._digest = xxhash.xxh64_intdigest(text.encode())
+        return self._digest
 
     def _sweep(self, now_s: float) -> None:
         for name, since_s in list(self._released_at_s.items()):
             if now_s - since_s > RELEASED_KEEP_S:
                 self._released_at_s.pop(name)
                 self._records.pop(name, None)
+                self._digest = None
 
 
 def _rank(record: Replica) -> int:
