--- a/script/tools/benches/membership.py
+++ b/script/tools/benches/membership.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from script.tools.benches.relay import process_cpu_s
+from script.tools.benches.processes import memory_mb, process_cpu_s
 from script.tools.cluster import Cluster
 from yuccavalve.access import key_digest
 from yuccavalve.const import MAX_VOTERS_PER_REGION
@@ -20,13 +20,6 @@
 _AT_ONCE = 8
 
 
-def _memory_mb(pid: int) -> float:
-    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
-        if line.startswith('VmRSS'):
-            return int(line.split()[1]) / 1024
-    return 0
-
-
 def _loopback_bytes() -> int:
     """Return the bytes that the loopback has carried, headers included."""
     for line in Path('/proc/net/dev').read_text().splitlines():
@@ -138,7 +131,7 @@
             'electorate_formed_s': round(formed_s, 2),
             'core_share_mean': round(statistics.mean(used), 4),
             'core_share_max': round(max(used), 4),
-            'memory_mb_mean': round(statistics.mean(map(_memory_mb, pids)), 1),
+            'memory_mb_mean': round(statistics.mean(map(memory_mb, pids)), 1),
             'peer_bytes_per_s_each': round(sent / took_s / count),
             'loopback_bytes_per_s_each': round(carried / took_s / count),
             'store_reads_per_s': round(
--- a/script/tools/benches/relay.py
+++ b/script/tools/benches/relay.py
@@ -2,22 +2,20 @@
 
 import asyncio
 import json
-import os
 import subprocess
 import sys
 import time
-from pathlib import Path
 from typing import Any
 
 import attrs
 
+from script.tools.benches.processes import process_cpu_s
 from script.tools.cluster import Cluster, DaemonOptions
 from yuccavalve.access import key_digest
 
 __all__ = ('async_relay',)
 
 _PARTS = 'script.tools.benches.relay_parts'
-_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 _WARM_S = 2.0
 _US = 1000000
 _CASES = ((20, 0.02), (100, 0.02), (720, 0.036))
@@ -35,12 +33,6 @@
         return process_cpu_s(self.popen.pid)
 
 
-def process_cpu_s(pid: int) -> float:
-    """Return the processor time that a process has used."""
-    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-
-
 class _Bench:
     def __init__(self, seed: int, run_s: float) -> None:
         self.seed = seed
--- a/script/tools/benches/slopes.py
+++ b/script/tools/benches/slopes.py
@@ -7,9 +7,9 @@
 import asyncio
 import time
 from collections.abc import Sequence
-from pathlib import Path
 from typing import Any
 
+from script.tools.benches.processes import memory_mb
 from script.tools.benches.relay import _Bench
 from yuccavalve.configuration import Group
 from yuccavalve.replicas import PlanHost, PlanInput, SpanPlanner
@@ -40,13 +40,6 @@
     }
 
 
-def _memory_mb(pid: int) -> float:
-    for line in Path(f'/proc/{pid}/status').read_text().splitlines():
-        if line.startswith('VmRSS'):
-            return int(line.split()[1]) / 1024
-    return 0
-
-
 async def _async_memory(bench: _Bench, daemon: Any) -> list[list[float]]:
     points = []
     for streams in _STREAMS:
@@ -55,7 +48,7 @@
                 bench.async_callers(daemon.address, streams, _SLOW_S),
             )
             await asyncio.sleep(5)
-        points.append([streams, _memory_mb(daemon.popen.pid)])
+        points.append([streams, memory_mb(daemon.popen.pid)])
         if streams:
             await callers
     return points
