Tick only while a stream waits

A burst at the start raises the load over 8%, ticks begin with no stream to serve, and the ticks themselves, up to 1,000 a second, keep the load there. Now the ticker sleeps until a stream waits.

--- /dev/null
+++ b/tests/requests/test_pacing.py
@@ -0,0 +1,33 @@
+"""Ticks come while a stream waits for one, and only then."""
+
+import asyncio
+import unittest
+
+from yuccavalve.requests.pacing import Pacer, merge_delay_s
+
+_DELAY_S = 0.02
+
+
+class PacerTest(unittest.IsolatedAsyncioTestCase):
+    """A pacer whose delay is in force."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        """Run a pacer."""
+        self.pacer = Pacer(_DELAY_S)
+        self.pacer.delay_s = _DELAY_S
+        task = asyncio.create_task(self.pacer.async_run())
+        self.addAsyncCleanup(asyncio.gather, task, return_exceptions=True)
+        self.addCleanup(task.cancel)
+
+    async def test_no_ticks_for_no_one(self) -> None:
+        await asyncio.sleep(_DELAY_S * 3)
+        self.assertEqual(self.pacer._step, 0)  # noqa: SLF001
+
+    async def test_waiters_are_woken(self) -> None:
+        await asyncio.sleep(_DELAY_S)
+        await asyncio.wait_for(self.pacer.async_wait(again=False), 5)
+        await asyncio.wait_for(self.pacer.async_wait(again=True), 5)
+
+    def test_delay_grows_with_load(self) -> None:
+        self.assertEqual(merge_delay_s(0.01, 1), 0)
+        self.assertEqual(merge_delay_s(0.9, 1), 1)
--- a/yuccavalve/requests/pacing.py
+++ b/yuccavalve/requests/pacing.py
@@ -22,7 +22,6 @@
 
 _MIN_DELAY_S = 0.002
 _MIN_STEP_S = 0.001
-_OFF_POLL_S = 0.02
 
 
 def merge_delay_s(load: float, max_delay_s: float) -> float:
@@ -53,6 +52,7 @@
             [] for _ in range(PACER_STEPS)
         ]
         self._step = 0
+        self._wake = asyncio.Event()
 
     async def async_run(self) -> None:
         """Measure the load and tick until cancelled."""
@@ -80,6 +80,7 @@
         step = (self._step + ahead) % PACER_STEPS
         waiter = asyncio.get_running_loop().create_future()
         self._steps[step].append(waiter)
+        self._wake.set()
         return waiter
 
     async def _async_tick(self) -> None:
@@ -88,7 +89,10 @@
         while True:
             if not self.is_on():
                 self._release_all()
-                await asyncio.sleep(_OFF_POLL_S)
+            if not any(self._steps):
+                # Ticks for no one would keep the load up that called for them.
+                self._wake.clear()
+                await self._wake.wait()
                 due_s = time.monotonic()
                 continue
             step_s = self._step_s()
