Wait for a settled electorate before a voter is paused

While a change of the electorate is joint, the voters before it are needed as well; they were e0 alone, and e0 is the daemon that the test pauses, so the edit was rightly not accepted. Ruled out: slow pulls or pushes to the paused daemon (1.5 s bound), and the 13 s wait of the operator's call. Nothing is asserted less. Conclusion: the check was right and its preparation was not.

--- a/tests/support/session.py
+++ b/tests/support/session.py
@@ -88,6 +88,7 @@
                 name,
                 lambda status: (
                     sorted(status['voters']) == sorted(names)
+                    and not status['previous_voters']
                     and status['accepted']
                 ),
                 _FORM_S,
--- a/yuccavalve/operators/status.py
+++ b/yuccavalve/operators/status.py
@@ -16,6 +16,7 @@
     now_s = node.clock.now_s()
     adoption = node.adoption
     configuration = adoption.configuration
+    electorate = configuration.electorate
     return {
         'daemon': node.own.member,
         'version': configuration.version,
@@ -24,7 +25,8 @@
         'fresh': adoption.is_fresh(now_s),
         'control_bytes': node.peers.control_bytes,
         'preset_in_force': configuration.document.preset_in_force,
-        'voters': [voter.name for voter in configuration.electorate.voters],
+        'voters': [voter.name for voter in electorate.voters],
+        'previous_voters': [voter.name for voter in electorate.previous],
         'members': _members(node, now_s),
         'replicas': [
             _replica(node, record, now_s)
