Give every control call a connection of its own

The client library keeps a connection whose exchange was cancelled (its reuse test falls back to the key of the earlier use), so that after a timeout the late answer is taken for that of the next call. A late answer to one transaction could so have been believed to be that of another. Change: HttpCaller uses each connection once and closes it itself. Streams from backend servers no longer ask for it either, for the same reason.

--- /dev/null
+++ b/tests/adapters/test_http.py
@@ -0,0 +1,76 @@
+"""An answer that comes late belongs to no later call."""
+
+import asyncio
+import json
+import unittest
+
+from yuccavalve.adapters.http import CallFailedError, HttpCaller
+
+_LIMIT_S = 0.2
+_HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
+
+
+class LateAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A server that answers when the test lets it."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        """Listen on a free port."""
+        self.open = asyncio.Event()
+        self.open.set()
+        self.part = 0
+        server = await asyncio.start_server(self._async_serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        self.caller = HttpCaller(_LIMIT_S)
+        self.addAsyncCleanup(self.caller.async_close)
+
+    async def _async_serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while True:
+                await self._async_answer(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def _async_answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = int(head.lower().split(b'content-length: ')[1].split()[0])
+        body = await reader.readexactly(length)
+        reply = f'{_HEAD}content-length: {length}\r\n\r\n'.encode() + body
+        writer.write(reply[: self.part])
+        await self.open.wait()
+        writer.write(reply[self.part :])
+        await writer.drain()
+
+    async def _async_call(self, number: int) -> int:
+        reply = await self.caller.async_post(self.address, '/', number)
+        return json.loads(str(reply.body))
+
+    async def test_after_a_timeout(self) -> None:
+        for part in (0, 10, 60):
+            with self.subTest(part=part):
+                self.part = part
+                self.assertEqual(await self._async_call(1), 1)
+                self.open.clear()
+                with self.assertRaises(CallFailedError):
+                    await self._async_call(2)
+                self.open.set()
+                self.assertEqual(await self._async_call(3), 3)
+
+    async def test_after_a_cancel(self) -> None:
+        self.assertEqual(await self._async_call(1), 1)
+        self.open.clear()
+        call = asyncio.create_task(self._async_call(2))
+        await asyncio.sleep(_LIMIT_S / 4)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        self.open.set()
+        self.assertEqual(await self._async_call(3), 3)
--- a/yuccavalve/adapters/backend.py
+++ b/yuccavalve/adapters/backend.py
@@ -243,12 +243,11 @@
         BackendLostError
             When the backend server may have run the request.
         """
-        headers = {**call.headers, 'connection': 'close'}
         limit_s = call.first_byte_s
         request = self._ensure_client().request(
             f'http://{call.address}{call.path}',
             call.method,
-            headers=headers,
+            headers=dict(call.headers),
             data=call.body,
             stream=True,
             timeouts=Timeouts(_CONNECT_S, limit_s, None, limit_s),
--- a/yuccavalve/adapters/http.py
+++ b/yuccavalve/adapters/http.py
@@ -1,7 +1,9 @@
 """JSON calls over HTTP, each sent at most once.
 
 The library sends a dropped request of an idempotent method again by itself,
-so every control call is a POST, and its default timeouts never apply.
+so every control call is a POST, and its default timeouts never apply. It also
+uses a connection again whose exchange was cancelled, and then takes the late
+answer for that of the next call, so every call has a connection of its own.
 """
 
 import asyncio
@@ -31,8 +33,9 @@
     asyncio.IncompleteReadError,
 )
 
-_POOL_SIZE = 256
-_IDLE_MS = 15000
+_POOL_SIZE = 1024
+# Both heads of a call.
+_HEAD_BYTES = 334
 
 
 class CallFailedError(Exception):
@@ -60,7 +63,10 @@
 
 
 class HttpCaller:
-    """A client for JSON calls with a key and one total timeout."""
+    """A client for JSON calls with a key and one total timeout.
+
+    ``control_bytes`` counts bodies and heads of answered calls, both ways.
+    """
 
     def __init__(self, timeout_s: float, key: str = '') -> None:
         """Keep the timeout and the bearer key."""
@@ -68,6 +74,7 @@
         self._headers = {'content-type': 'application/json'}
         if key:
             self._headers['authorization'] = f'Bearer {key}'
+        self.control_bytes = 0
         self._client: aiosonic.HTTPClient | None = None
 
     async def async_post(
@@ -115,7 +122,12 @@
             data=encoded,
             timeouts=Timeouts(limit_s, limit_s, limit_s, limit_s),
         )
+        connection = response._connection  # noqa: SLF001, WPS437
         text = await response.content()
+        # A server that is asked to close may do so before it has read the
+        # body, and the reset then destroys its answer.
+        connection.close()
+        self.control_bytes += len(encoded) + len(text) + _HEAD_BYTES
         retry_after = response.headers.get('retry-after')
         return Reply(
             response.status_code,
@@ -125,7 +137,7 @@
 
     def _ensure_client(self) -> aiosonic.HTTPClient:
         if self._client is None:
-            pool = PoolConfig(size=_POOL_SIZE, max_conn_idle_ms=_IDLE_MS)
+            pool = PoolConfig(size=_POOL_SIZE, max_conn_requests=0)
             self._client = new_client(pool)
         return self._client
 
