--- a/script/tools/bench.py
+++ b/script/tools/bench.py
@@ -13,7 +13,8 @@
     'slopes': 'memory a stream, processor time a request, plan time',
     'relay': 'processor time a token against a splice',
     'load': 'routing, fairness and retries against baselines',
-    'membership': 'control cost of 4 to 64 daemons as processes',
+    'daemons': 'fairness across daemons against other rules',
+    'membership': 'control cost and faults of 8 to 64 daemons',
     'planning': 'downtime and stranded hosts against greedy first fit',
 }
 
--- /dev/null
+++ b/script/tools/benches/member_faults.py
@@ -0,0 +1,165 @@
+"""Faults that the membership bench causes, and what it measures of each."""
+
+import asyncio
+import time
+from typing import Any
+
+from script.tools.cluster import Cluster
+from script.tools.partition import Partition
+
+__all__ = (
+    'async_detect',
+    'async_join',
+    'async_part',
+    'async_pause',
+    'async_store_outage',
+)
+
+_SHORT_PAUSE_S = 3.0
+_OUTAGE_S = 20.0
+_RETURN_S = 20.0
+_BOUND_S = 120.0
+
+
+def _alive(status: Any) -> set[str]:
+    return {each['name'] for each in status['members'] if each['alive']}
+
+
+async def _async_all_see(
+    cluster: Cluster,
+    viewers: list[str],
+    name: str,
+    *,
+    alive: bool,
+) -> float:
+    """Return the time until every viewer holds a member alive or dead."""
+    began_s = time.monotonic()
+    for viewer in viewers:
+        await cluster.async_until(
+            viewer,
+            lambda status: (name in _alive(status)) == alive,
+            _BOUND_S,
+        )
+    return round(time.monotonic() - began_s, 2)
+
+
+async def _async_suspected(
+    cluster: Cluster,
+    viewers: list[str],
+    living: set[str],
+) -> int:
+    """Count pairs of a viewer and a living member that it holds dead."""
+    suspected = 0
+    for viewer in viewers:
+        status = await cluster.async_status(viewer)
+        suspected += len(living - _alive(status))
+    return suspected
+
+
+async def async_join(cluster: Cluster, names: list[str]) -> dict[str, Any]:
+    """Start one more daemon; it stays."""
+    name = 'joiner'
+    await cluster.async_start_daemon(name)
+    seen_s = await _async_all_see(cluster, names, name, alive=True)
+    names.append(name)
+    return {'seen_by_all_s': seen_s}
+
+
+async def async_pause(cluster: Cluster, names: list[str]) -> dict[str, Any]:
+    """Pause one daemon for less than the patience, then until detected."""
+    name, others = names[-1], names[:-1]
+    process = cluster.processes[name]
+    process.pause()
+    await asyncio.sleep(_SHORT_PAUSE_S)
+    suspected = await _async_suspected(cluster, others, set(names))
+    process.resume()
+    await asyncio.sleep(_SHORT_PAUSE_S)
+    process.pause()
+    detected_s = await _async_all_see(cluster, others, name, alive=False)
+    process.resume()
+    back_s = await _async_all_see(cluster, others, name, alive=True)
+    return {
+        'short_pause_suspicions': suspected,
+        'detected_s': detected_s,
+        'back_for_all_s': back_s,
+        'false_suspicions': await _async_suspected(
+            cluster,
+            others,
+            set(others),
+        ),
+    }
+
+
+async def async_store_outage(
+    cluster: Cluster,
+    names: list[str],
+) -> dict[str, Any]:
+    """Take the table service away, then count what comes at its return."""
+    faults, counts = '/admin/faults', '/admin/counts'
+    await cluster.async_admin('platform', faults, {'table_down': True})
+    await asyncio.sleep(_OUTAGE_S)
+    fresh = 0
+    for name in names:
+        fresh += (await cluster.async_status(name))['fresh']
+    await cluster.async_admin('platform', counts, {'reset': True})
+    await cluster.async_admin('platform', faults, {'table_down': False})
+    await asyncio.sleep(_RETURN_S)
+    peaks = await cluster.async_admin('platform', counts, {})
+    return {
+        'fresh_at_the_end': fresh,
+        'peak_reads_per_s': peaks['peak_reads_per_s'],
+        'peak_writes_per_s': peaks['peak_writes_per_s'],
+        'mean_reads_per_s': round(peaks['reads'] / _RETURN_S, 2),
+        'mean_writes_per_s': round(peaks['writes'] / _RETURN_S, 2),
+    }
+
+
+async def async_detect(cluster: Cluster, names: list[str]) -> dict[str, Any]:
+    """Kill a daemon; time until every other one holds it dead."""
+    victim, others = names[-1], names[:-1]
+    cluster.processes[victim].kill()
+    detected_s = await _async_all_see(cluster, others, victim, alive=False)
+    return {
+        'last_detected_s': detected_s,
+        'false_suspicions': await _async_suspected(
+            cluster,
+            others,
+            set(others),
+        ),
+    }
+
+
+async def async_part(
+    cluster: Cluster,
+    partition: Partition,
+    names: list[str],
+) -> dict[str, Any]:
+    """Cut the daemons into halves, then heal."""
+    half = len(names) // 2
+    sides = names[:half], names[half:]
+    partition.cut(*sides)
+    began_s = time.monotonic()
+    for side in sides:
+        for name in side:
+            await cluster.async_until(
+                name,
+                lambda status: not _alive(status).difference(side),
+                _BOUND_S,
+            )
+    detected_s = time.monotonic() - began_s
+    suspected = 0
+    for side in sides:
+        suspected += await _async_suspected(cluster, side, set(side))
+    partition.heal()
+    began_s = time.monotonic()
+    for name in names:
+        await cluster.async_until(
+            name,
+            lambda status: _alive(status) == set(names),
+            _BOUND_S,
+        )
+    return {
+        'detected_s': round(detected_s, 2),
+        'false_suspicions_inside_a_side': suspected,
+        'healed_s': round(time.monotonic() - began_s, 2),
+    }
--- a/script/tools/benches/membership.py
+++ b/script/tools/benches/membership.py
@@ -3,38 +3,80 @@
 import asyncio
 import statistics
 import time
-from pathlib import Path
 from typing import Any
 
+import attrs
+
+from script.tools.benches.member_faults import (
+    async_detect,
+    async_join,
+    async_part,
+    async_pause,
+    async_store_outage,
+)
 from script.tools.benches.processes import memory_mb, process_cpu_s
-from script.tools.cluster import Cluster
+from script.tools.cluster import Cluster, DaemonOptions
+from script.tools.partition import Partition
 from yuccavalve.access import key_digest
 from yuccavalve.const import MAX_VOTERS_PER_REGION
 
 __all__ = ('async_membership',)
 
 _COUNTS = (8, 16, 32, 64)
-_SETTLE_S = 12.0
-_MEASURE_S = 12.0
+_PARTED_COUNTS = (8, 32)
+_SETTLE_S = 10.0
+_MEASURE_S = 15.0
 _FORM_S = 120.0
 _AT_ONCE = 8
 
 
-def _loopback_bytes() -> int:
-    """Return the bytes that the loopback has carried, headers included."""
-    for line in Path('/proc/net/dev').read_text().splitlines():
-        name, _, counters = line.partition(':')
-        if name.strip() == 'lo':
-            return int(counters.split()[0])
-    return 0
+@attrs.frozen
+class _Reading:
+    """Counters of all daemons at one moment."""
+
+    at_s: float
+    cpu_s: list[float]
+    control_bytes: dict[str, int]
+    store: dict[str, int]
 
 
-async def _async_peer_bytes(cluster: Cluster, names: list[str]) -> int:
-    total = 0
+async def _async_read(cluster: Cluster, names: list[str]) -> _Reading:
+    totals = {'peers': 0, 'platform': 0, 'engines': 0}
     for name in names:
         status = await cluster.async_status(name)
-        total += status['control_bytes']
-    return total
+        for kind, count in status['control_bytes'].items():
+            totals[kind] += count
+    counts = await cluster.async_admin('platform', '/admin/counts', {})
+    pids = [cluster.processes[name].popen.pid for name in names]
+    cpu_s = [process_cpu_s(pid) for pid in pids]
+    return _Reading(time.monotonic(), cpu_s, totals, counts)
+
+
+async def _async_idle_cost(
+    cluster: Cluster,
+    names: list[str],
+) -> dict[str, Any]:
+    before = await _async_read(cluster, names)
+    await asyncio.sleep(_MEASURE_S)
+    after = await _async_read(cluster, names)
+    took_s = after.at_s - before.at_s
+    used = [
+        (late - early) / took_s
+        for early, late in zip(before.cpu_s, after.cpu_s, strict=True)
+    ]
+    pids = [cluster.processes[name].popen.pid for name in names]
+    cost: dict[str, Any] = {
+        'core_share_mean': round(statistics.mean(used), 4),
+        'core_share_max': round(max(used), 4),
+        'memory_mb_mean': round(statistics.mean(map(memory_mb, pids)), 1),
+    }
+    for kind, count in after.control_bytes.items():
+        sent = count - before.control_bytes[kind]
+        cost[f'{kind}_bytes_per_s_each'] = round(sent / took_s / len(names))
+    for kind in ('reads', 'writes'):
+        calls = after.store[kind] - before.store[kind]
+        cost[f'store_{kind}_per_s'] = round(calls / took_s, 2)
+    return cost
 
 
 async def _async_spread(cluster: Cluster, names: list[str]) -> dict[str, float]:
@@ -60,40 +102,27 @@
     }
 
 
-async def _async_detect(cluster: Cluster, names: list[str]) -> dict[str, float]:
-    """Kill a daemon; time until every other one holds it dead."""
-    victim = names[-1]
-    cluster.processes[victim].kill()
-    began_s = time.monotonic()
-    others = names[:-1]
-    times = []
-    for name in others:
-        await cluster.async_until(
-            name,
-            lambda status: (
-                not any(
-                    member['name'] == victim and member['alive']
-                    for member in status['members']
-                )
-            ),
-        )
-        times.append(time.monotonic() - began_s)
-    status = await cluster.async_status(others[0])
-    suspected = sum(
-        not member['alive'] and member['name'] != victim
-        for member in status['members']
+async def _async_until_formed(cluster: Cluster, names: list[str]) -> None:
+    await cluster.async_until(
+        names[0],
+        lambda status: (
+            len(status['voters']) == min(len(names), MAX_VOTERS_PER_REGION)
+            and not status['previous_voters']
+            and status['accepted']
+        ),
+        _FORM_S,
     )
-    return {
-        'last_detected_s': round(max(times), 2),
-        'false_suspicions': suspected,
-    }
+
+
+def _names(count: int) -> list[str]:
+    return [f'e{number:03d}' for number in range(count)]
 
 
 async def _async_case(count: int) -> dict[str, Any]:
     cluster = Cluster()
+    names = _names(count)
     try:
         await cluster.async_start_platform(60)
-        names = [f'e{number:03d}' for number in range(count)]
         for begin in range(0, count, _AT_ONCE):
             await asyncio.gather(
                 *(
@@ -101,52 +130,38 @@
                     for name in names[begin : begin + _AT_ONCE]
                 ),
             )
-        began_s = time.monotonic()
-        await cluster.async_until(
-            names[0],
-            lambda status: (
-                len(status['voters']) == min(count, MAX_VOTERS_PER_REGION)
-                and status['accepted']
-            ),
-            _FORM_S,
-        )
-        formed_s = time.monotonic() - began_s
+        await _async_until_formed(cluster, names)
+        await asyncio.sleep(_SETTLE_S)
+        figures = await _async_idle_cost(cluster, names)
+        figures['change'] = await _async_spread(cluster, names)
+        figures['join'] = await async_join(cluster, names)
+        figures['pause'] = await async_pause(cluster, names)
+        figures['store_outage'] = await async_store_outage(cluster, names)
+        figures['kill'] = await async_detect(cluster, names)
+        return figures
+    finally:
+        await cluster.async_close()
+
+
+async def _async_parted_case(count: int) -> dict[str, Any]:
+    cluster = Cluster()
+    partition = Partition(cluster)
+    names = _names(count)
+    try:
+        await cluster.async_start_platform(60)
+        for begin in range(0, count, _AT_ONCE):
+            await asyncio.gather(
+                *(
+                    partition.async_start_daemon(name, DaemonOptions())
+                    for name in names[begin : begin + _AT_ONCE]
+                ),
+            )
+        await _async_until_formed(cluster, names)
         await asyncio.sleep(_SETTLE_S)
-        pids = [cluster.processes[name].popen.pid for name in names]
-        cpu_s = [process_cpu_s(pid) for pid in pids]
-        sent = await _async_peer_bytes(cluster, names)
-        counts = await cluster.async_admin('platform', '/admin/counts', {})
-        from_s = time.monotonic()
-        carried = _loopback_bytes()
-        await asyncio.sleep(_MEASURE_S)
-        carried = _loopback_bytes() - carried
-        took_s = time.monotonic() - from_s
-        used = [
-            (process_cpu_s(pid) - before) / took_s
-            for pid, before in zip(pids, cpu_s, strict=True)
-        ]
-        after = await cluster.async_admin('platform', '/admin/counts', {})
-        sent = await _async_peer_bytes(cluster, names) - sent
-        return {
-            'electorate_formed_s': round(formed_s, 2),
-            'core_share_mean': round(statistics.mean(used), 4),
-            'core_share_max': round(max(used), 4),
-            'memory_mb_mean': round(statistics.mean(map(memory_mb, pids)), 1),
-            'peer_bytes_per_s_each': round(sent / took_s / count),
-            'loopback_bytes_per_s_each': round(carried / took_s / count),
-            'store_reads_per_s': round(
-                (after['reads'] - counts['reads']) / took_s,
-                2,
-            ),
-            'store_writes_per_s': round(
-                (after['writes'] - counts['writes']) / took_s,
-                2,
-            ),
-            'change': await _async_spread(cluster, names),
-            'kill': await _async_detect(cluster, names),
-        }
+        return await async_part(cluster, partition, names)
     finally:
         await cluster.async_close()
+        await partition.async_close()
 
 
 async def async_membership(seed: int) -> dict[str, Any]:
@@ -155,4 +170,8 @@
     for count in _COUNTS:
         cases[str(count)] = await _async_case(count)
         print(count, cases[str(count)], flush=True)
-    return {'daemons': cases}
+    parted = {}
+    for count in _PARTED_COUNTS:
+        parted[str(count)] = await _async_parted_case(count)
+        print(count, parted[str(count)], flush=True)
+    return {'daemons': cases, 'parted': parted}
--- a/script/tools/benches/spread.py
+++ b/script/tools/benches/spread.py
@@ -15,8 +15,11 @@
 from yuccavalve.configuration import (
     AdoptionState,
     Configuration,
+    Document,
     Electorate,
+    Service,
     Voter,
+    Workspace,
 )
 from yuccavalve.const import (
     GOSSIP_FANOUT,
@@ -25,9 +28,14 @@
     PROBE_PERIOD_S,
 )
 from yuccavalve.hashing import rendezvous_order
-from yuccavalve.membership import Member, Roster
+from yuccavalve.load import DemandKey, Demands
+from yuccavalve.membership import Member, PeerView, Roster
 from yuccavalve.peers import PeerState
-from yuccavalve.peers.const import FRAME_BYTES
+from yuccavalve.peers.const import (
+    CHANNEL_IDLE_S,
+    CONNECT_BYTES,
+    FRAME_BYTES,
+)
 from yuccavalve.replicas import (
     Grant,
     GrantTable,
@@ -36,7 +44,6 @@
     ReplicaState,
     ReplicaTable,
 )
-from yuccavalve.requests.slots import Demands
 
 __all__ = ('async_spread',)
 
@@ -47,6 +54,7 @@
 _DELAY_S = (0.0005, 0.02)
 _LOSS = 0.01
 _VERIFIERS = 2
+_WORKSPACES = 10
 
 
 class _Network:
@@ -55,6 +63,7 @@
         self.clock = LogicalClock(1000)
         self.bytes = 0
         self.pulls = 0
+        self.channels = 0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self.members = [
@@ -82,6 +91,11 @@
         ]
         electorate = self._electorate()
         self.nodes = [self._node(member, electorate) for member in self.members]
+        self.views = [PeerView(node.roster) for node in self.nodes]
+        self.indexes = {
+            member.member: index for index, member in enumerate(self.members)
+        }
+        self.used_at_s: dict[tuple[int, int], float] = {}
         self.dead: set[int] = set()
 
     def at(self, delay_s: float, call: Callable[[], None]) -> None:
@@ -121,7 +135,15 @@
     def _node(self, member: Member, electorate: Electorate) -> PeerState:
         adoption = AdoptionState(
             member.name,
-            Configuration(7, 7, 'c', 'a', 's', electorate=electorate),
+            Configuration(
+                7,
+                7,
+                'c',
+                'a',
+                's',
+                _document(),
+                electorate,
+            ),
         )
         adoption.votes = True
         table = ReplicaTable()
@@ -136,8 +158,16 @@
             Demands(),
             self.clock,
             self.random,
+            self._demands,
         )
 
+    def _demands(self) -> dict[DemandKey, int]:
+        """Return the demands of a daemon under overload."""
+        return {
+            DemandKey('pool', f'w{number}'): self.random.randrange(1, 400)
+            for number in range(_WORKSPACES)
+        }
+
     def _verify(self, index: int, replica: Replica) -> None:
         if index in self.dead:
             return
@@ -153,10 +183,13 @@
     def _pull(self, index: int) -> None:
         if index in self.dead:
             return
-        for _ in range(GOSSIP_FANOUT):
-            other = self.random.randrange(len(self.nodes))
-            if other != index:
-                self._send(index, other)
+        drawn = self.views[index].draw(
+            self.random,
+            self.clock.now_s(),
+            GOSSIP_FANOUT,
+        )
+        for member in drawn:
+            self._send(index, self.indexes[member.member])
         period_s = GOSSIP_PERIOD_S * self.random.uniform(0.8, 1.2)
         self.at(period_s, lambda: self._pull(index))
 
@@ -166,9 +199,11 @@
 
         def arrive() -> None:
             if other in self.dead or self.random.random() < _LOSS:
+                self.views[index].drop(self.members[other].member)
                 return
             reply = self.nodes[other].reply(request)
             self.bytes += request.ByteSize() + reply.ByteSize() + FRAME_BYTES
+            self._count_channel(index, other)
             self.pulls += 1
             self.at(
                 self.random.uniform(*_DELAY_S),
@@ -177,6 +212,24 @@
 
         self.at(self.random.uniform(*_DELAY_S), arrive)
 
+    def _count_channel(self, index: int, other: int) -> None:
+        """Count a new channel unless the last one is still kept."""
+        now_s = self.clock.now_s()
+        used_at_s = self.used_at_s.get((index, other), float('-inf'))
+        if now_s - used_at_s > CHANNEL_IDLE_S:
+            self.bytes += CONNECT_BYTES
+            self.channels += 1
+        self.used_at_s[index, other] = now_s
+
+
+def _document() -> Document:
+    return Document(
+        services=(Service('pool', 'model', 'pool'),),
+        workspaces=tuple(
+            Workspace(f'w{number}', '') for number in range(_WORKSPACES)
+        ),
+    )
+
 
 def _quantiles(samples: list[float]) -> dict[str, float]:
     ordered = sorted(samples)
@@ -193,6 +246,7 @@
     network.run(_WARM_S)
     network.bytes = 0
     network.pulls = 0
+    network.channels = 0
     grants: list[float] = []
     lapsed = 0
     confirmed: list[float] = []
@@ -226,6 +280,10 @@
         'dead_member_detected_s': detected,
         'bytes_per_s_pulled': round(sent),
         'bytes_per_s_both_ways': round(2 * sent),
+        'channels_per_pull': round(
+            network.channels / max(1, network.pulls),
+            3,
+        ),
         'bytes_per_pull': round(network.bytes / max(1, network.pulls)),
     }
 
--- a/script/tools/link.py
+++ b/script/tools/link.py
@@ -1,4 +1,4 @@
-"""A TCP link that tests cut, silence and heal."""
+"""A TCP link that can be silenced and healed."""
 
 import asyncio
 import contextlib
@@ -46,7 +46,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def async_may_pass(self, source_port: int) -> None:
+    def source_at(self, port: int) -> str:
+        """Return the name of the process that a connection is from."""
+        return ''
+
+    async def async_may_pass(self, source: str) -> None:
         """Wait until bytes of a connection may pass."""
         await self._open.wait()
 
@@ -55,12 +59,16 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        try:
+            name = self.source_at(writer.get_extra_info('peername')[1])
+        except LookupError:
+            writer.close()
+            return
         host, port = self.target.split(':')
         there = await asyncio.open_connection(host, int(port))
-        source_port = writer.get_extra_info('peername')[1]
         for source, sink in ((reader, there[1]), (there[0], writer)):
             task = asyncio.create_task(
-                self._async_pump(source, sink, source_port),
+                self._async_pump(source, sink, name),
             )
             self._tasks.add(task)
 
@@ -68,11 +76,11 @@
         self,
         source: asyncio.StreamReader,
         sink: asyncio.StreamWriter,
-        source_port: int,
+        name: str,
     ) -> None:
         with contextlib.suppress(OSError):
             while part := await source.read(_READ_BYTES):
-                await self.async_may_pass(source_port)
+                await self.async_may_pass(name)
                 sink.write(part)
                 await sink.drain()
         sink.close()
--- a/script/tools/partition.py
+++ b/script/tools/partition.py
@@ -9,7 +9,7 @@
 import attrs
 
 from script.tools.cluster import Cluster, DaemonOptions, Process
-from tests.support.link import Link
+from script.tools.link import Link
 
 __all__ = ('Partition',)
 
@@ -30,8 +30,11 @@
         await super().async_start()
         self.target = f'{_BOUND_HOST}:{self.address.rpartition(":")[2]}'
 
-    async def async_may_pass(self, source_port: int) -> None:
-        await self._partition.async_may_pass(source_port, self._name)
+    def source_at(self, port: int) -> str:
+        return self._partition.owner(_inode_of(port))
+
+    async def async_may_pass(self, source: str) -> None:
+        await self._partition.async_may_pass(source, self._name)
 
 
 class Partition:
@@ -42,7 +45,6 @@
         self._cluster = cluster
         self._links: dict[str, _PeerLink] = {}
         self._cut: set[frozenset[str]] = set()
-        self._names: dict[int, str] = {}
         self._changed = asyncio.Event()
 
     async def async_start_daemon(
@@ -76,9 +78,9 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def async_may_pass(self, source_port: int, target: str) -> None:
+    async def async_may_pass(self, source: str, target: str) -> None:
         """Wait until a connection's two ends can reach each other."""
-        pair = frozenset((self._name_of(source_port), target))
+        pair = frozenset((source, target))
         while pair in self._cut:
             await self._changed.wait()
 
@@ -87,14 +89,8 @@
         for link in self._links.values():
             await link.async_close()
 
-    def _name_of(self, source_port: int) -> str:
-        name = self._names.get(source_port)
-        if name is None:
-            name = self._owner(_inode_of(source_port))
-            self._names[source_port] = name
-        return name
-
-    def _owner(self, inode: str) -> str:
+    def owner(self, inode: str) -> str:
+        """Return the daemon that holds a socket."""
         wanted = f'socket:[{inode}]'
         for name in self._links.keys() & self._cluster.processes.keys():
             process = self._cluster.processes[name]
--- a/script/tools/prove/configuration.py
+++ b/script/tools/prove/configuration.py
@@ -19,10 +19,10 @@
 from yuccavalve.configuration.commit import Change
 from yuccavalve.const import CONFIG_BOUND_S
 from yuccavalve.exceptions import YuccavalveError
+from yuccavalve.load import Demands
 from yuccavalve.membership import Member, Roster, next_electorate
 from yuccavalve.peers import PeerState
 from yuccavalve.replicas import GrantTable, ReplicaTable
-from yuccavalve.requests.slots import Demands
 
 __all__ = ('ConfigurationModel',)
 
--- a/script/tools/prove/grants.py
+++ b/script/tools/prove/grants.py
@@ -11,6 +11,7 @@
 from yuccavalve.configuration import AdoptionState
 from yuccavalve.const import GRANT_LIFETIME_S
 from yuccavalve.daemon.verify_loop import is_host_of
+from yuccavalve.load import Demands
 from yuccavalve.membership import Member, Roster
 from yuccavalve.peers import PeerState
 from yuccavalve.ports import EngineStatus
@@ -22,7 +23,6 @@
     ReplicaState,
     ReplicaTable,
 )
-from yuccavalve.requests.slots import Demands
 
 __all__ = ('GrantsModel',)
 
--- a/tests/load/test_decisions.py
+++ b/tests/load/test_decisions.py
@@ -10,7 +10,6 @@
     ReplicaScores,
     RetryBudget,
     Ticket,
-    daemon_share,
     retry_after_s,
 )
 
@@ -139,22 +138,3 @@
             scores.note_speed('p2', 0.03)
         self.assertTrue(scores.is_straggler('slow'))
         self.assertFalse(scores.is_straggler('p1'))
-
-
-class ShareTest(unittest.TestCase):
-    """Slots are divided without a coordinator."""
-
-    def test_shares_add_up_to_the_overcommitted_slots(self) -> None:
-        demands = [40, 10, 0, 0]
-        shares = [
-            daemon_share(
-                64,
-                own,
-                demands[:index] + demands[index + 1 :],
-                4,
-            )
-            for index, own in enumerate(demands)
-        ]
-        self.assertLessEqual(abs(sum(shares) - 96), 4)
-        self.assertGreater(shares[0], shares[1])
-        self.assertGreater(shares[2], 0)
--- /dev/null
+++ b/tests/membership/test_view.py
@@ -0,0 +1,49 @@
+"""The peers that a daemon draws from change slowly."""
+
+import unittest
+from random import Random
+
+from tests.support.builders import member
+from yuccavalve.membership import PeerView, Roster
+from yuccavalve.membership.const import VIEW_SIZE, VIEW_TURN_S
+
+_PEERS = 100
+_ROUNDS = 50
+
+
+class ViewTest(unittest.TestCase):
+    """A view among many more members."""
+
+    def setUp(self) -> None:
+        self.random = Random(3)
+        roster = Roster(member('own'))
+        roster.learn_all(member(f'peer-{number}') for number in range(_PEERS))
+        self.view = PeerView(roster)
+
+    def _drawn(self, now_s: float) -> set[str]:
+        return {
+            each.member
+            for _ in range(_ROUNDS)
+            for each in self.view.draw(self.random, now_s, 2)
+        }
+
+    def test_few_peers_between_turns(self) -> None:
+        self.assertEqual(len(self._drawn(1)), VIEW_SIZE)
+        self.assertEqual(self._drawn(2), self._drawn(3))
+
+    def test_one_changes_at_each_turn(self) -> None:
+        before = self._drawn(1)
+        after = self._drawn(1 + VIEW_TURN_S)
+        self.assertEqual(len(before - after), 1)
+
+    def test_one_that_does_not_answer_makes_room(self) -> None:
+        before = self._drawn(1)
+        silent = min(before)
+        self.view.drop(silent)
+        self.assertEqual(len(self._drawn(1) | before), VIEW_SIZE + 1)
+
+    def test_all_are_met_in_time(self) -> None:
+        met: set[str] = set()
+        for turn in range(_PEERS * 8):
+            met |= self._drawn(turn * VIEW_TURN_S)
+        self.assertEqual(len(met), _PEERS)
--- a/tests/peers/test_exchange.py
+++ b/tests/peers/test_exchange.py
@@ -6,11 +6,11 @@
 from tests.support.builders import configuration, member, replica, voters
 from yuccavalve.clock import LogicalClock
 from yuccavalve.configuration import AdoptionState, Electorate
+from yuccavalve.load import Demands
 from yuccavalve.membership import Roster
 from yuccavalve.peers import PeerState
 from yuccavalve.peers.exchange import AGE_UNIT_S, age_byte
 from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
-from yuccavalve.requests.slots import Demands
 
 _NAMES = ('a', 'bb', 'ccc')
 
--- a/tests/sessions/test_configuration.py
+++ b/tests/sessions/test_configuration.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from script.tools.cluster import DaemonOptions
-from tests.support.link import Link
+from script.tools.link import Link
 from tests.support.session import SessionTest
 from yuccavalve.const import CONFIG_BOUND_S, CONFIG_FRESH_S
 
--- a/tests/sessions/test_partitions.py
+++ b/tests/sessions/test_partitions.py
@@ -5,8 +5,8 @@
 import attrs
 
 from script.tools.cluster import DaemonOptions
-from tests.support.link import Link
-from tests.support.partition import Partition
+from script.tools.link import Link
+from script.tools.partition import Partition
 from tests.support.session import SessionTest
 from yuccavalve.const import CONFIG_BOUND_S, CONFIG_FRESH_S
 
--- a/tests/sessions/test_replicas.py
+++ b/tests/sessions/test_replicas.py
@@ -78,6 +78,20 @@
         await asyncio.sleep(1)
         self.assertTrue((await self.async_ask('e0', 'after')).whole)
 
+    async def test_engine_that_is_not_ready_any_more(self) -> None:
+        await self.async_start(hosts=2, span=2)
+        lost = await self._async_replica('e0')
+        await self.cluster.async_admin(
+            lost['hosts'][0],
+            '/admin/faults',
+            {'dead': True},
+        )
+        status = await self._async_reformed('e0', lost['incarnation'])
+        self.assertEqual(
+            sorted(granted(status)[0]['hosts']),
+            sorted(lost['hosts']),
+        )
+
     async def test_leaving_host(self) -> None:
         await self.async_start(daemons=2, hosts=2)
         leaving = await self._async_replica('e0')
--- a/yuccavalve/configuration/commit.py
+++ b/yuccavalve/configuration/commit.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -34,7 +34,7 @@
 )
 from yuccavalve.ports import Condition, Row, TableStore, Transaction, Write
 
-__all__ = ('Change', 'ConfigurationStore', 'Head')
+__all__ = ('Change', 'ConfigurationStore', 'Head', 'head_in')
 
 _EMPTY = Configuration(0, 0, '', '', '')
 
@@ -73,11 +73,7 @@
 
     async def async_head(self) -> Head:
         """Return the head; version 0 stands for none."""
-        rows = await self.table.async_read([HEAD_KEY])
-        row = rows.get(HEAD_KEY)
-        if row is None:
-            return Head(0, None)
-        return Head(row.fields['version'], row.version)
+        return head_in(await self.table.async_read([HEAD_KEY]))
 
     async def async_load(self, version: int) -> Configuration:
         """Return a committed version."""
@@ -171,6 +167,14 @@
         return row is not None and row.fields['version'] == successor.version
 
 
+def head_in(rows: Mapping[str, Row]) -> Head:
+    """Return the head among rows that were read together."""
+    row = rows.get(HEAD_KEY)
+    if row is None:
+        return Head(0, None)
+    return Head(row.fields['version'], row.version)
+
+
 def _check_revision(base: Configuration, change: Change) -> None:
     against = change.against_revision
     if against is not None and against != base.revision:
--- a/yuccavalve/const.py
+++ b/yuccavalve/const.py
@@ -8,12 +8,17 @@
 CONFIG_BOUND_S: Final = 13.0
 CONFIG_FRESH_S: Final = 10.0
 STORE_POLL_S: Final = 3.0
+# While peers confirm the configuration, the own poll is only the floor.
+STORE_POLL_CALM_S: Final = 8.0
+CONFIRMED_CALM_S: Final = 5.0
+LISTING_MAX_S: Final = 3000.0
 
 # Evidence that a replica is complete.
 GRANT_LIFETIME_S: Final = 6.0
 PROBE_PERIOD_S: Final = 1.0
 PROBE_TIMEOUT_S: Final = 1.0
 HOST_MISSING_S: Final = 1.5
+ENGINE_STUCK_S: Final = 3.0
 ENGINE_ORDER_TIMEOUT_S: Final = 4.0
 
 # Leases.
--- a/yuccavalve/daemon/application.py
+++ b/yuccavalve/daemon/application.py
@@ -100,7 +100,7 @@
             node.random,
             limits.max_queued,
         )
-        node.peer_state.own_demand = self.admission.total_demand
+        node.peer_state.own_demands = self.admission.demands
         self.pipeline = self._pipeline()
         self.application = self._application()
         self.metrics.gauge('requests_in_flight', self._in_flight)
--- a/yuccavalve/daemon/electorate_duty.py
+++ b/yuccavalve/daemon/electorate_duty.py
@@ -29,7 +29,12 @@
         """Commit the next electorate when there is one."""
         node = self.node
         now_s = node.clock.now_s()
-        await node.registry.async_sweep(now_s, MEMBER_LEASE_S)
+        suspects = [
+            member.member
+            for member in node.roster.members()
+            if not node.roster.is_alive(member.member, now_s)
+        ]
+        await node.registry.async_sweep(suspects, now_s, MEMBER_LEASE_S)
         present = node.adoption.configuration.electorate
         proposed = next_electorate(
             present,
--- a/yuccavalve/daemon/node.py
+++ b/yuccavalve/daemon/node.py
@@ -15,14 +15,13 @@
 )
 from yuccavalve.clock import BootClock, Clock
 from yuccavalve.configuration import AdoptionState, ConfigurationStore
-from yuccavalve.load import ReplicaScores
+from yuccavalve.load import Demands, ReplicaScores
 from yuccavalve.membership import Member, MemberRegistry, Roster
 from yuccavalve.observability.samples import BurnSamples
 from yuccavalve.peers import PeerClient, PeerState
 from yuccavalve.ports import EnginePort, HostList, ObjectStore, TableStore
 from yuccavalve.replicas import GrantTable, ReplicaStore, ReplicaTable
 from yuccavalve.replicas.usage import ReplicaUsage
-from yuccavalve.requests.slots import Demands
 from yuccavalve.settings import Settings
 
 __all__ = ('Keys', 'Node', 'Platform', 'build_node')
@@ -79,6 +78,7 @@
     registry: MemberRegistry
     replica_store: ReplicaStore
     engine_caller: HttpCaller
+    platform_caller: HttpCaller
     samples: BurnSamples = attrs.field(factory=BurnSamples)
     usage: ReplicaUsage = attrs.field(factory=ReplicaUsage)
     stopping: bool = False
@@ -120,7 +120,8 @@
     )
     clock = BootClock()
     engine_caller = HttpCaller(_ENGINE_CALL_S, keys.platform)
-    platform = _platform(settings, keys, engine_caller)
+    platform_caller = HttpCaller(settings.platform.timeout_s, keys.platform)
+    platform = _platform(settings, platform_caller, engine_caller)
     roster = Roster(_own_member(settings, caller_address))
     adoption = AdoptionState(settings.daemon.name)
     grants = GrantTable()
@@ -152,6 +153,7 @@
         registry=MemberRegistry(platform.table),
         replica_store=ReplicaStore(platform.table),
         engine_caller=engine_caller,
+        platform_caller=platform_caller,
     )
 
 
@@ -169,10 +171,9 @@
 
 def _platform(
     settings: Settings,
-    keys: Keys,
+    caller: HttpCaller,
     engine_caller: HttpCaller,
 ) -> Platform:
-    caller = HttpCaller(settings.platform.timeout_s, keys.platform)
     return Platform(
         table=HttpTableStore(caller, settings.platform.table_address),
         object_store=HttpObjectStore(caller, settings.platform.object_address),
--- a/yuccavalve/daemon/peer_loop.py
+++ b/yuccavalve/daemon/peer_loop.py
@@ -8,6 +8,7 @@
 from yuccavalve.configuration.codec import decode_configuration
 from yuccavalve.const import GOSSIP_FANOUT, GOSSIP_PERIOD_S
 from yuccavalve.daemon.node import Node
+from yuccavalve.membership import PeerView
 from yuccavalve.peers import PeerUnreachableError
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.timing import jittered
@@ -21,6 +22,11 @@
 
     node: Node
     _strangers: set[str] = attrs.field(factory=set)
+    _view: PeerView = attrs.field(init=False)
+
+    @_view.default
+    def _new_view(self) -> PeerView:
+        return PeerView(self.node.roster)
 
     async def async_run(self) -> None:
         """Pull until cancelled."""
@@ -33,24 +39,29 @@
 
     async def _async_round(self) -> None:
         await asyncio.gather(
-            *(self._async_pull(address) for address in self._targets()),
+            *(
+                self._async_pull(name, address)
+                for name, address in self._targets()
+            ),
         )
         await self.node.peers.async_close_idle()
 
-    def _targets(self) -> list[str]:
+    def _targets(self) -> list[tuple[str, str]]:
+        """Return names and addresses; seeds have no name."""
         node = self.node
-        drawn = node.roster.peers_to_pull(node.random, GOSSIP_FANOUT)
-        addresses = [member.peer_address for member in drawn]
-        if not addresses:
-            seeds = node.settings.daemon.peer_seeds
-            addresses = node.random.sample(
-                seeds,
-                min(GOSSIP_FANOUT, len(seeds)),
-            )
+        drawn = self._view.draw(
+            node.random,
+            node.clock.now_s(),
+            GOSSIP_FANOUT,
+        )
+        if drawn:
+            return [(each.member, each.peer_address) for each in drawn]
+        seeds = node.settings.daemon.peer_seeds
+        addresses = node.random.sample(seeds, min(GOSSIP_FANOUT, len(seeds)))
         own = node.own.peer_address
-        return [address for address in addresses if address != own]
+        return [('', address) for address in addresses if address != own]
 
-    async def _async_pull(self, address: str) -> None:
+    async def _async_pull(self, name: str, address: str) -> None:
         node = self.node
         sent_at_s = node.clock.now_s()
         try:
@@ -73,6 +84,7 @@
                 )
                 node.peer_state.read_description(description)
         except PeerUnreachableError as error:
+            self._view.drop(name)
             logging.info('peer=%s not reached: %s', address, error)
 
     async def _async_fetch_configuration(self, address: str) -> None:
--- a/yuccavalve/daemon/planner_duty.py
+++ b/yuccavalve/daemon/planner_duty.py
@@ -7,7 +7,11 @@
 import attrs
 from absl import logging
 
-from yuccavalve.const import GRANT_LIFETIME_S, HOST_MISSING_S
+from yuccavalve.const import (
+    ENGINE_STUCK_S,
+    GRANT_LIFETIME_S,
+    HOST_MISSING_S,
+)
 from yuccavalve.daemon.node import Node
 from yuccavalve.daemon.spread import async_revoke
 from yuccavalve.daemon.verify_loop import async_probe, is_host_of
@@ -412,7 +416,25 @@
             record.incarnation,
             now_s,
         )
-        return lost and granted is None
+        return granted is None and (lost or self._is_stuck(record, statuses))
+
+    def _is_stuck(
+        self,
+        record: Replica,
+        statuses: list[EngineStatus | None],
+    ) -> bool:
+        """Tell whether hosts are there, but one does not serve any more.
+
+        An engine that missed another host does not recover by itself.
+        """
+        key = f'{record.replica}/ready'
+        unready = any(status and not status.ready for status in statuses)
+        if record.state is not ReplicaState.SERVING or not unready:
+            self._missing_since_s.pop(key, None)
+            return False
+        now_s = self.node.clock.now_s()
+        since_s = self._missing_since_s.setdefault(key, now_s)
+        return now_s - since_s >= ENGINE_STUCK_S
 
     def _note_unreachable(self, host: str) -> None:
         """Leave a host out of plans for a while; the list lags."""
--- a/yuccavalve/daemon/runner.py
+++ b/yuccavalve/daemon/runner.py
@@ -117,7 +117,9 @@
         if signalled.done():
             return await self._async_stop()
         signalled.cancel()
-        logging.error('a background loop ended, stopping')
+        for task in self._tasks:
+            if task.done():
+                logging.error('loop %s ended, stopping', task)
         await self._async_stop()
         return EXIT_LOOP_ENDED
 
--- a/yuccavalve/daemon/store_loop.py
+++ b/yuccavalve/daemon/store_loop.py
@@ -5,55 +5,106 @@
 import attrs
 from absl import logging
 
-from yuccavalve.const import MEMBER_LEASE_S, STORE_POLL_S
+from yuccavalve.configuration.commit import head_in
+from yuccavalve.configuration.const import HEAD_KEY
+from yuccavalve.const import (
+    CONFIRMED_CALM_S,
+    LISTING_MAX_S,
+    MEMBER_LEASE_S,
+    STORE_POLL_CALM_S,
+    STORE_POLL_S,
+)
 from yuccavalve.daemon.node import Node
 from yuccavalve.exceptions import StoreUnavailableError
+from yuccavalve.membership.const import MEMBERS_MARK_KEY
+from yuccavalve.ports import Row
 from yuccavalve.timing import jittered
 
-__all__ = ('StoreLoop', 'async_confirm_from_store')
+__all__ = ('StoreLoop',)
 
-_LISTING_POLLS = 4
 _RENEWALS_PER_LEASE = 3
 _MAX_BACKOFF_S = 6.0
 _BACKOFF = 1.5
-
-
-async def async_confirm_from_store(node: Node) -> None:
-    """Read the head and adopt what is newer."""
-    sent_at_s = node.clock.now_s()
-    head = await node.configurations.async_head()
-    if node.adoption.observe_own_read(head.version, sent_at_s):
-        node.adoption.adopt(await node.configurations.async_load(head.version))
-        node.adoption.observe_own_read(head.version, sent_at_s)
+_NEVER_S = float('-inf')
 
 
 @attrs.define
 class StoreLoop:
-    """Reads head and listings, and renews the own member row."""
+    """Reads the head, renews the own member row, and lists when it must.
+
+    Peers tell of members and replicas. The members are listed after one was
+    removed, and both lists are read after a time and while no peer answers.
+    """
 
     node: Node
-    _polls: int = 0
-    _renewed_at_s: float = float('-inf')
+    _polled_at_s: float = _NEVER_S
+    _renewed_at_s: float = _NEVER_S
+    _listed_at_s: float = _NEVER_S
+    _mark: int | None = None
 
     async def async_run(self) -> None:
         """Poll until cancelled, more slowly while the service is down."""
         pause_s = STORE_POLL_S
         while True:
+            self._forget()
             try:
                 await self.async_poll()
                 pause_s = STORE_POLL_S
             except StoreUnavailableError as error:
                 logging.warning('table service: %s', error)
                 pause_s = min(_MAX_BACKOFF_S, pause_s * _BACKOFF)
+            except Exception:
+                logging.exception('poll of the table service failed')
             await asyncio.sleep(jittered(self.node.random, pause_s))
 
     async def async_poll(self) -> None:
-        """Poll once."""
-        await async_confirm_from_store(self.node)
+        """Poll once, unless peers have just confirmed what is known."""
+        node = self.node
         await self._async_renew()
-        if self._polls % _LISTING_POLLS == 0:
-            await self._async_listings()
-        self._polls += 1
+        if not self._is_due(node.clock.now_s()):
+            return
+        sent_at_s = node.clock.now_s()
+        keys = (HEAD_KEY, MEMBERS_MARK_KEY)
+        rows = await node.platform.table.async_read(keys)
+        await self._async_confirm(head_in(rows).version, sent_at_s)
+        self._polled_at_s = sent_at_s
+        must_list = self._must_list(sent_at_s)
+        mark = _version(rows.get(MEMBERS_MARK_KEY))
+        if must_list or mark != self._mark:
+            await self._async_list_members()
+            self._mark = mark
+        if must_list:
+            await self._async_list_replicas()
+            self._listed_at_s = sent_at_s
+
+    def _forget(self) -> None:
+        """Drop what is known of replicas that no longer exist."""
+        node = self.node
+        node.replicas.sweep(node.clock.now_s())
+        kept = {record.replica for record in node.replicas.all_records()}
+        node.grants.forget_except(kept)
+        plain = node.adoption.configuration.document.plain_addresses()
+        node.scores.forget_except(kept | plain)
+
+    def _is_due(self, now_s: float) -> bool:
+        if not self.node.adoption.votes:
+            return True
+        if now_s - self._polled_at_s >= STORE_POLL_CALM_S:
+            return True
+        confirmed_at_s = self.node.adoption.confirmed_at(now_s)
+        return now_s - confirmed_at_s > CONFIRMED_CALM_S
+
+    def _must_list(self, now_s: float) -> bool:
+        if now_s - self._listed_at_s >= LISTING_MAX_S:
+            return True
+        return len(self.node.roster.live(now_s)) == 1
+
+    async def _async_confirm(self, version: int, sent_at_s: float) -> None:
+        """Note the head and adopt what is newer."""
+        node = self.node
+        if node.adoption.observe_own_read(version, sent_at_s):
+            node.adoption.adopt(await node.configurations.async_load(version))
+            node.adoption.observe_own_read(version, sent_at_s)
 
     async def _async_renew(self) -> None:
         node = self.node
@@ -63,15 +114,18 @@
         await node.registry.async_write(node.own)
         self._renewed_at_s = now_s
 
-    async def _async_listings(self) -> None:
+    async def _async_list_members(self) -> None:
         node = self.node
-        members = await node.registry.async_list(node.clock.now_s())
+        members = await node.registry.async_list()
         node.roster.learn_all(members)
         now_s = node.clock.now_s()
         node.roster.forget_except({each.member for each in members}, now_s)
+
+    async def _async_list_replicas(self) -> None:
+        node = self.node
         stored = await node.replica_store.async_list()
-        node.replicas.reconcile(stored, now_s)
-        kept = {record.replica for record in node.replicas.all_records()}
-        node.grants.forget_except(kept)
-        plain = node.adoption.configuration.document.plain_addresses()
-        node.scores.forget_except(kept | plain)
+        node.replicas.reconcile(stored, node.clock.now_s())
+
+
+def _version(row: Row | None) -> int | None:
+    return None if row is None else row.version
--- a/yuccavalve/load/__init__.py
+++ b/yuccavalve/load/__init__.py
@@ -1,19 +1,30 @@
 """Routing, limits, fairness and retries as pure decisions."""
 
+from yuccavalve.load.demands import (
+    DemandKey,
+    Demands,
+    decode_demands,
+    encode_demands,
+)
 from yuccavalve.load.fairness import FairQueue, Ticket
 from yuccavalve.load.outliers import ReplicaScores
 from yuccavalve.load.retries import RetryBudget, retry_after_s
 from yuccavalve.load.routing import AffinityRouter, Candidate, Router
-from yuccavalve.load.shares import daemon_share
+from yuccavalve.load.shares import DemandShares, fair_dues
 
 __all__ = (
     'AffinityRouter',
     'Candidate',
+    'DemandKey',
+    'DemandShares',
+    'Demands',
     'FairQueue',
     'ReplicaScores',
     'RetryBudget',
     'Router',
     'Ticket',
-    'daemon_share',
+    'decode_demands',
+    'encode_demands',
+    'fair_dues',
     'retry_after_s',
 )
--- a/yuccavalve/load/const.py
+++ b/yuccavalve/load/const.py
@@ -34,3 +34,8 @@
 RETRY_AFTER_SPREAD_S: Final = 4.0
 
 OVERCOMMIT: Final = 1.5
+
+# Demands in a digest, and their precision.
+DEMAND_ENTRIES: Final = 8
+DEMAND_STEPS: Final = 16
+DEMAND_TOTALS_S: Final = 0.25
--- /dev/null
+++ b/yuccavalve/load/demands.py
@@ -0,0 +1,88 @@
+"""What every daemon's callers ask for, by group and workspace."""
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+import attrs
+
+from yuccavalve.load.const import DEMAND_ENTRIES, DEMAND_STEPS
+
+__all__ = ('DemandKey', 'Demands', 'decode_demands', 'encode_demands')
+
+_BYTE_MAX = 255
+
+
+@attrs.frozen(order=True)
+class DemandKey:
+    """A workspace's requests for one group."""
+
+    group: str
+    workspace: str
+
+
+def encode_demands(
+    demands: Mapping[DemandKey, int],
+    order: Sequence[DemandKey],
+) -> bytes:
+    """Return the largest demands, two bytes each.
+
+    Parameters
+    ----------
+    demands
+        Requests in flight and queued.
+    order
+        Keys in an order that both sides know; only the first 256 count.
+
+    Returns
+    -------
+    bytes
+        For each demand its place in the order, and its logarithm in steps
+        of a sixteenth, rounded up.
+    """
+    places = {key: place for place, key in enumerate(order[: _BYTE_MAX + 1])}
+    largest = sorted(
+        (key for key in demands if demands[key] > 0 and key in places),
+        key=lambda key: (-demands[key], key),
+    )
+    code = bytearray()
+    for key in largest[:DEMAND_ENTRIES]:
+        step = math.ceil(DEMAND_STEPS * math.log2(demands[key] + 1))
+        code.extend((places[key], min(_BYTE_MAX, step)))
+    return bytes(code)
+
+
+def decode_demands(
+    code: bytes,
+    order: Sequence[DemandKey],
+) -> dict[DemandKey, int]:
+    """Return the demands that ``encode_demands`` wrote, to a twentieth."""
+    pairs = zip(code[::2], code[1::2], strict=False)
+    return {
+        order[place]: max(1, round(2 ** (step / DEMAND_STEPS) - 1))
+        for place, step in pairs
+        if place < len(order)
+    }
+
+
+@attrs.define
+class Demands:
+    """What other daemons have in flight and queued, as last heard."""
+
+    _by_member: dict[str, dict[str, Counter[str]]] = attrs.field(factory=dict)
+
+    def note(self, member: str, demands: Mapping[DemandKey, int]) -> None:
+        """Note a member's demands in place of the earlier ones."""
+        groups: dict[str, Counter[str]] = defaultdict(Counter)
+        for key, count in demands.items():
+            groups[key.group][key.workspace] = count
+        self._by_member[member] = dict(groups)
+
+    def totals(self, group: str, members: Iterable[str]) -> Counter[str]:
+        """Return the demands for a group through members that are alive."""
+        totals: Counter[str] = Counter()
+        for member in members:
+            known = self._by_member.get(member)
+            if known is not None and group in known:
+                totals.update(known[group])
+        return totals
--- a/yuccavalve/load/fairness.py
+++ b/yuccavalve/load/fairness.py
@@ -60,6 +60,10 @@
         """Return how many tickets wait."""
         return sum(len(queue.heap) for queue in self._queues.values())
 
+    def waiting(self) -> Mapping[str, int]:
+        """Return how many tickets of each workspace wait."""
+        return self._waiting_by_workspace
+
     @property
     def waiting_tokens(self) -> int:
         """Return the estimated tokens of all tickets that wait."""
@@ -129,7 +133,7 @@
     def drop_expired(
         self,
         now_s: float,
-        least_service_s: Callable[[Ticket], float],
+        expected_s: Callable[[Ticket], float],
     ) -> list[Ticket]:
         """Remove and return the tickets whose deadlines can't be met.
 
@@ -137,14 +141,14 @@
         ----------
         now_s
             The reading of the clock.
-        least_service_s
-            The shortest time that a ticket's answer may take.
+        expected_s
+            The time that a ticket's answer takes.
         """
         expired = [
             ticket
             for queue in self._queues.values()
             for _, _, ticket in queue.heap
-            if ticket.deadline_at_s <= now_s + least_service_s(ticket)
+            if ticket.deadline_at_s <= now_s + expected_s(ticket)
         ]
         for ticket in expired:
             self.remove(ticket)
--- a/yuccavalve/load/shares.py
+++ b/yuccavalve/load/shares.py
@@ -1,40 +1,101 @@
-"""Divide the engines' slots among daemons."""
+"""Divide the engines' slots among daemons.
+
+Every daemon knows what each workspace demands through each daemon, as last
+heard. A workspace's due is its max-min fair part of the slots (Bertsekas and
+Gallager, 1992, section 6.5.2) by weight, however many daemons it comes
+through, and a daemon's share is the part of the dues that come through it.
+"""
 
 import math
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Mapping, Sequence
+
+import attrs
 
 from yuccavalve.load.const import OVERCOMMIT
 
-__all__ = ('daemon_share',)
+__all__ = ('DemandShares', 'fair_dues')
 
+_DEFAULT_WEIGHT = 1.0
 
-def daemon_share(
-    total_slots: int,
-    own_demand: int,
-    demands: Sequence[int],
-    live_members: int,
-) -> int:
-    """Return how many requests this daemon may have in flight.
 
-    Half of the slots are divided equally, so that a daemon that has just
-    joined or is cut off has something, and half by demand. The sum over all
-    daemons is overcommitted; the engines' refusals correct it.
+def fair_dues(
+    total_slots: float,
+    demands: Mapping[str, int],
+    weights: Mapping[str, float],
+) -> dict[str, float]:
+    """Return the max-min fair slots of each workspace.
 
     Parameters
     ----------
     total_slots
-        Slots of all replicas of the group under grants.
-    own_demand
-        Requests of this daemon in flight and queued.
+        What there is to divide.
     demands
-        The same of each other daemon, as last heard.
-    live_members
-        Daemons that are alive, this one included.
+        Requests in flight and queued of each workspace.
+    weights
+        Weights of workspaces; a missing one counts as 1.
+    """
+    dues: dict[str, float] = {}
+    left = total_slots
+    names = sorted(
+        (name for name in demands if demands[name] > 0),
+        key=lambda name: demands[name] / weights.get(name, _DEFAULT_WEIGHT),
+    )
+    weight_left = sum(weights.get(name, _DEFAULT_WEIGHT) for name in names)
+    for name in names:
+        weight = weights.get(name, _DEFAULT_WEIGHT)
+        dues[name] = min(demands[name], left * weight / weight_left)
+        left -= dues[name]
+        weight_left -= weight
+    return dues
+
+
+@attrs.frozen
+class DemandShares:
+    """The rule in use.
+
+    What nobody demands is divided equally, so that a daemon that has just
+    joined or is cut off has something. The sum over all daemons is
+    overcommitted; the engines' refusals correct it.
     """
-    equal = total_slots / max(1, live_members)
-    total_demand = own_demand + sum(demands)
-    proportional = equal
-    if total_demand > 0:
-        proportional = total_slots * own_demand / total_demand
-    share = (equal + proportional) / 2
-    return max(1, math.ceil(share * OVERCOMMIT))
+
+    weights: Mapping[str, float]
+
+    def share(
+        self,
+        total_slots: int,
+        own: Mapping[str, int],
+        others: Sequence[Mapping[str, int]],
+    ) -> int:
+        """Return how many requests this daemon may have in flight.
+
+        Parameters
+        ----------
+        total_slots
+            Slots of all replicas of the group under grants.
+        own
+            Requests of each workspace in flight and queued here.
+        others
+            The same of each other live daemon, as last heard.
+        """
+        totals = Counter(own)
+        for other in others:
+            totals.update(other)
+        return self.share_of(total_slots, own, totals, len(others) + 1)
+
+    def share_of(
+        self,
+        total_slots: int,
+        own: Mapping[str, int],
+        totals: Mapping[str, int],
+        live_members: int,
+    ) -> int:
+        """Return the same from totals over all daemons."""
+        dues = fair_dues(total_slots, totals, self.weights)
+        part = sum(
+            dues[name] * own[name] / totals[name]
+            for name in own
+            if own[name] > 0
+        )
+        spare = (total_slots - sum(dues.values())) / max(1, live_members)
+        return max(1, math.ceil((part + spare) * OVERCOMMIT))
--- a/yuccavalve/membership/__init__.py
+++ b/yuccavalve/membership/__init__.py
@@ -5,12 +5,14 @@
 from yuccavalve.membership.models import Member
 from yuccavalve.membership.registry import MemberRegistry
 from yuccavalve.membership.roster import Roster
+from yuccavalve.membership.view import PeerView
 
 __all__ = (
     'Lease',
     'LeaseStep',
     'Member',
     'MemberRegistry',
+    'PeerView',
     'Roster',
     'next_electorate',
 )
--- a/yuccavalve/membership/const.py
+++ b/yuccavalve/membership/const.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 MEMBER_PREFIX: Final = 'member/'
+MEMBERS_MARK_KEY: Final = 'members-removed'
 LEASE_KEY: Final = 'lease/{duty}'
 TERM_KEY: Final = 'term/{duty}'
 DUTY_PLANNER: Final = 'planner'
@@ -10,3 +11,5 @@
 ELECTORATE_STABLE_S: Final = 3.0
 ELECTORATE_DEAD_S: Final = 60.0
 CANDIDATE_STEP_S: Final = 1.0
+VIEW_SIZE: Final = 16
+VIEW_TURN_S: Final = 20.0
--- a/yuccavalve/membership/registry.py
+++ b/yuccavalve/membership/registry.py
@@ -1,18 +1,24 @@
 """Keep members' rows in the table service."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from yuccavalve.exceptions import TransactionConflictError
-from yuccavalve.membership.const import MEMBER_PREFIX
+from yuccavalve.membership.const import MEMBER_PREFIX, MEMBERS_MARK_KEY
 from yuccavalve.membership.models import Member
-from yuccavalve.ports import Condition, Row, TableStore, Transaction, Write
+from yuccavalve.ports import Condition, TableStore, Transaction, Write
 
 __all__ = ('MemberRegistry',)
 
 
 @attrs.define
 class MemberRegistry:
-    """Rows of members; a row that stops changing is swept."""
+    """Rows of members; a row that stops changing is swept.
+
+    Each removal also writes the row ``MEMBERS_MARK_KEY``, so that daemons
+    list the members again only after one was removed.
+    """
 
     table: TableStore
     _seen: dict[str, tuple[int, float]] = attrs.field(factory=dict)
@@ -24,39 +30,57 @@
 
     async def async_remove(self, member: str) -> None:
         """Remove a member's row."""
-        write = Write(MEMBER_PREFIX + member, None)
-        await self.table.async_transact(Transaction((), (write,)))
+        await self.table.async_transact(_removal(MEMBER_PREFIX + member, ()))
 
-    async def async_list(self, now_s: float) -> list[Member]:
+    async def async_list(self) -> list[Member]:
         """Return the registered members."""
         rows = await self.table.async_scan(MEMBER_PREFIX)
-        self._note(rows, now_s)
         return [Member(**row.fields) for row in rows]
 
-    async def async_sweep(self, now_s: float, lapse_s: float) -> list[str]:
-        """Remove rows that have not changed for a time; return their ids."""
+    async def async_sweep(
+        self,
+        suspects: Iterable[str],
+        now_s: float,
+        lapse_s: float,
+    ) -> list[str]:
+        """Remove rows of suspects that do not change; return their ids.
+
+        Parameters
+        ----------
+        suspects
+            Members that peers have not heard of.
+        lapse_s
+            How long a row must stay as it is.
+        """
+        keys = [MEMBER_PREFIX + name for name in suspects]
+        self._seen = {key: self._seen[key] for key in keys if key in self._seen}
+        unknown = [key for key in keys if key not in self._seen]
+        await self._async_note(unknown, now_s)
         swept = []
         for key, (version, since_s) in list(self._seen.items()):
             if now_s - since_s < lapse_s:
                 continue
-            transaction = Transaction(
-                (Condition(key, version),),
-                (Write(key, None),),
-            )
-            try:
-                await self.table.async_transact(transaction)
-            except TransactionConflictError:
-                continue
             self._seen.pop(key)
-            swept.append(key.removeprefix(MEMBER_PREFIX))
+            if await self._async_remove_unchanged(key, version):
+                swept.append(key.removeprefix(MEMBER_PREFIX))
         return swept
 
-    def _note(self, rows: list[Row], now_s: float) -> None:
-        seen = {}
-        for row in rows:
-            known = self._seen.get(row.key)
-            if known is not None and known[0] == row.version:
-                seen[row.key] = known
-            else:
-                seen[row.key] = (row.version, now_s)
-        self._seen = seen
+    async def _async_note(self, keys: list[str], now_s: float) -> None:
+        if not keys:
+            return
+        rows = await self.table.async_read(keys)
+        for key, row in rows.items():
+            self._seen[key] = (row.version, now_s)
+
+    async def _async_remove_unchanged(self, key: str, version: int) -> bool:
+        condition = Condition(key, version)
+        try:
+            await self.table.async_transact(_removal(key, (condition,)))
+        except TransactionConflictError:
+            return False
+        return True
+
+
+def _removal(key: str, conditions: tuple[Condition, ...]) -> Transaction:
+    mark = Write(MEMBERS_MARK_KEY, {'member': key})
+    return Transaction(conditions, (Write(key, None), mark))
--- a/yuccavalve/membership/roster.py
+++ b/yuccavalve/membership/roster.py
@@ -125,11 +125,6 @@
             return self.own
         return self._members.get(name)
 
-    def peers_to_pull(self, random: Random, count: int) -> list[Member]:
-        """Return other members drawn at random, suspects among them."""
-        others = self.members()[1:]
-        return random.sample(others, min(count, len(others)))
-
     def index(self) -> RosterIndex:
         """Return the known members in order; made anew after a change."""
         if self._index is None:
--- /dev/null
+++ b/yuccavalve/membership/view.py
@@ -0,0 +1,46 @@
+"""Choose peers to pull from so that their connections are used again.
+
+Opening a channel costs several times the bytes of a pull. A daemon therefore
+draws from a small sample of its peers, of which one is replaced at each turn
+(a partial view as in Jelasity et al., 2007); random enough that news reaches
+all in a logarithm of their number.
+"""
+
+from random import Random
+
+import attrs
+
+from yuccavalve.membership.const import VIEW_SIZE, VIEW_TURN_S
+from yuccavalve.membership.models import Member
+from yuccavalve.membership.roster import Roster
+
+__all__ = ('PeerView',)
+
+
+@attrs.define
+class PeerView:
+    """The peers that one daemon draws from, oldest first."""
+
+    roster: Roster
+    size: int = VIEW_SIZE
+    turn_s: float = VIEW_TURN_S
+    _names: list[str] = attrs.field(factory=list)
+    _turned_at_s: float = 0
+
+    def draw(self, random: Random, now_s: float, count: int) -> list[Member]:
+        """Return distinct peers, at most ``count``; suspects are among them."""
+        others = {each.member: each for each in self.roster.members()[1:]}
+        self._names = [name for name in self._names if name in others]
+        if now_s - self._turned_at_s >= self.turn_s:
+            self._turned_at_s = now_s
+            self._names = self._names[1:]
+        fresh = sorted(others.keys() - set(self._names))
+        missing = min(self.size - len(self._names), len(fresh))
+        self._names.extend(random.sample(fresh, missing))
+        drawn = random.sample(self._names, min(count, len(self._names)))
+        return [others[name] for name in drawn]
+
+    def drop(self, member: str) -> None:
+        """Make room for another peer in place of one that did not answer."""
+        if member in self._names:
+            self._names.remove(member)
--- a/yuccavalve/operators/status.py
+++ b/yuccavalve/operators/status.py
@@ -23,7 +23,11 @@
         'revision': configuration.revision,
         'accepted': adoption.accepted(configuration.version, now_s),
         'fresh': adoption.is_fresh(now_s),
-        'control_bytes': node.peers.control_bytes,
+        'control_bytes': {
+            'peers': node.peers.control_bytes,
+            'platform': node.platform_caller.control_bytes,
+            'engines': node.engine_caller.control_bytes,
+        },
         'preset_in_force': configuration.document.preset_in_force,
         'voters': [voter.name for voter in electorate.voters],
         'previous_voters': [voter.name for voter in electorate.previous],
--- a/yuccavalve/peers/client.py
+++ b/yuccavalve/peers/client.py
@@ -10,6 +10,7 @@
 from yuccavalve.peers.const import (
     CHANNEL_IDLE_S,
     CHANNEL_OPTIONS,
+    CONNECT_BYTES,
     FRAME_BYTES,
     KEY_METADATA,
 )
@@ -100,6 +101,7 @@
                 options=CHANNEL_OPTIONS,
             )
             self._channels[address] = channel
+            self.control_bytes += CONNECT_BYTES
         return channel
 
     async def _async_drop(self, address: str) -> None:
--- a/yuccavalve/peers/const.py
+++ b/yuccavalve/peers/const.py
@@ -21,6 +21,8 @@
     ('grpc.http2.min_recv_ping_interval_without_data_ms', 5000),
     ('grpc.max_receive_message_length', 4194304),
 )
-# Headers, framing and acknowledgements of one call, both ways.
-FRAME_BYTES: Final = 220
+# What HTTP/2 adds to the messages of a call, both ways, on a kept channel;
+# and what opening a channel adds to its first call.
+FRAME_BYTES: Final = 141
+CONNECT_BYTES: Final = 540
 CHANNEL_IDLE_S: Final = 30.0
--- a/yuccavalve/peers/exchange.py
+++ b/yuccavalve/peers/exchange.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 
 import attrs
@@ -14,11 +14,16 @@
 from yuccavalve.configuration import AdoptionState, Evidence
 from yuccavalve.const import DIGEST_RUN, PROTOCOL_VERSION
 from yuccavalve.hashing import tiny_id
+from yuccavalve.load import (
+    DemandKey,
+    Demands,
+    decode_demands,
+    encode_demands,
+)
 from yuccavalve.membership import Member, Roster
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
 from yuccavalve.replicas.claims import decode_replica, encode_replica
-from yuccavalve.requests.slots import Demands
 
 __all__ = (
     'AGE_UNIT_S',
@@ -74,7 +79,7 @@
     demands: Demands
     clock: Clock
     random: Random
-    own_demand: Callable[[], int] = int
+    own_demands: Callable[[], Mapping[DemandKey, int]] = dict
 
     def request(self, *, introduce: bool = False) -> peer_pb2.PullRequest:
         """Return a request for a peer's digest."""
@@ -99,7 +104,7 @@
             version=self.adoption.version,
             replicas_digest=self.table.digest(),
             votes=self.adoption.votes,
-            demand=self.own_demand(),
+            demands=encode_demands(self.own_demands(), self._demand_order()),
             members_digest=self.roster.index().digest,
         )
         if request.HasField('sender'):
@@ -148,7 +153,10 @@
 
     def describe_request(self) -> peer_pb2.DescribeRequest:
         """Return a request for the records that are missing here."""
-        return peer_pb2.DescribeRequest(known=self.table.marks())
+        return peer_pb2.DescribeRequest(
+            known=self.table.marks(),
+            known_members=self.roster.index().by_tiny_id,
+        )
 
     def describe(
         self,
@@ -156,9 +164,15 @@
     ) -> peer_pb2.DescribeReply:
         """Return the records that a peer lacks, and the members."""
         records = self.table.unknown_to(request.known)
+        known = set(request.known_members)
+        by_tiny_id = self.roster.index().by_tiny_id
         return peer_pb2.DescribeReply(
             replicas=json.dumps(list(map(encode_replica, records))).encode(),
-            members=[head_of(member) for member in self.roster.members()],
+            members=[
+                head_of(member)
+                for tiny, member in by_tiny_id.items()
+                if tiny not in known or member.leaving
+            ],
         )
 
     def read_description(self, reply: peer_pb2.DescribeReply) -> None:
@@ -259,11 +273,27 @@
         sent_at_s: float,
     ) -> None:
         self.roster.hear(sender.member, sent_at_s)
-        self.demands.note(sender.member, reply.demand)
+        if reply.version == self.adoption.version:
+            self.demands.note(
+                sender.member,
+                decode_demands(reply.demands, self._demand_order()),
+            )
         if reply.votes:
             evidence = Evidence(sender.name, reply.version, sent_at_s)
             self.adoption.observe_voters([evidence])
 
+    def _demand_order(self) -> list[DemandKey]:
+        """Return the keys that every daemon of a version knows."""
+        document = self.adoption.configuration.document
+        groups = {
+            service.group or service.name for service in document.services
+        }
+        return [
+            DemandKey(group, workspace.name)
+            for group in sorted(groups)
+            for workspace in document.workspaces
+        ]
+
     def _read_members(
         self,
         by_id: dict[int, Member],
--- a/yuccavalve/replicas/table.py
+++ b/yuccavalve/replicas/table.py
@@ -22,15 +22,13 @@
     _digest: int | None = None
 
     def merge(self, records: Iterable[Replica], now_s: float) -> None:
-        """Take records that are further along than the known ones."""
+        """Take records that are further along than the known ones.
+
+        A released one that is not known was forgotten here already.
+        """
         for record in records:
-            known = self._records.get(record.replica)
-            if known is not None and _rank(known) >= _rank(record):
-                continue
-            self._records[record.replica] = record
-            self._digest = None
-            if record.state is ReplicaState.RELEASED:
-                self._released_at_s[record.replica] = now_s
+            if self._is_news(record):
+                self._take(record, now_s)
 
     def reconcile(self, stored: Iterable[Replica], now_s: float) -> None:
         """Take the whole list of the table service.
@@ -46,7 +44,6 @@
             if record.replica not in present and record.incarnation < newest
         ]
         self.merge([*records, *gone], now_s)
-        self._sweep(now_s)
 
     def all_records(self) -> list[Replica]:
         """Return the records of replicas that are not released."""
@@ -90,13 +87,27 @@
         ]
 
     def digest(self) -> int:
-        """Return a hash over all records and states."""
+        """Return a hash over the states of all but released records."""
         if self._digest is None:
-            text = ' '.join(str(mark) for mark in sorted(self.marks()))
+            marks = sorted(map(_mark, self.all_records()))
+            text = ' '.join(map(str, marks))
             self._digest = xxhash.xxh64_intdigest(text.encode())
         return self._digest
 
-    def _sweep(self, now_s: float) -> None:
+    def _is_news(self, record: Replica) -> bool:
+        known = self._records.get(record.replica)
+        if known is None:
+            return record.state is not ReplicaState.RELEASED
+        return _rank(known) < _rank(record)
+
+    def _take(self, record: Replica, now_s: float) -> None:
+        self._records[record.replica] = record
+        self._digest = None
+        if record.state is ReplicaState.RELEASED:
+            self._released_at_s[record.replica] = now_s
+
+    def sweep(self, now_s: float) -> None:
+        """Forget what was released long ago."""
         for name, since_s in list(self._released_at_s.items()):
             if now_s - since_s > RELEASED_KEEP_S:
                 self._released_at_s.pop(name)
--- a/yuccavalve/requests/admit.py
+++ b/yuccavalve/requests/admit.py
@@ -9,7 +9,7 @@
 from yuccavalve.clock import Clock
 from yuccavalve.configuration import AdoptionState
 from yuccavalve.exceptions import RequestRefusedError
-from yuccavalve.load import FairQueue, Ticket, retry_after_s
+from yuccavalve.load import DemandKey, FairQueue, Ticket, retry_after_s
 from yuccavalve.load.const import SMOOTHING
 from yuccavalve.requests.const import SWEEP_S
 from yuccavalve.requests.models import Exchange
@@ -20,7 +20,6 @@
 
 
 _WAIT_MAX_S = 60.0
-_LEAST_SERVICE = 0.5
 
 
 @attrs.define(eq=False)
@@ -28,14 +27,19 @@
     """Requests of one group: in flight, queued, and how fast they end."""
 
     queue: FairQueue
+    running: Counter[str] = attrs.field(factory=Counter)
     in_flight: int = 0
     tokens_per_s: float = 0
     service_s: Counter[str] = attrs.field(factory=Counter)
     waiters: dict[Ticket, asyncio.Future[None]] = attrs.field(factory=dict)
 
-    def least_service_s(self, ticket: Ticket) -> float:
-        """Return a time that few requests of a class are served in."""
-        return self.service_s[ticket.request_class] * _LEAST_SERVICE
+    def demands(self) -> Counter[str]:
+        """Return requests in flight and queued of each workspace."""
+        return self.running + Counter(self.queue.waiting())
+
+    def expected_s(self, ticket: Ticket) -> float:
+        """Return the mean time that requests of a class are served in."""
+        return self.service_s[ticket.request_class]
 
 
 class Admission:
@@ -62,14 +66,13 @@
         """Return the reading of the daemon's clock."""
         return self._clock.now_s()
 
-    def demand(self, group: str) -> int:
-        """Return requests in flight and queued for a group."""
-        pool = self._pools.get(group)
-        return 0 if pool is None else pool.in_flight + len(pool.queue)
-
-    def total_demand(self) -> int:
-        """Return requests in flight and queued in all."""
-        return sum(self.demand(group) for group in self._pools)
+    def demands(self) -> dict[DemandKey, int]:
+        """Return requests in flight and queued by group and workspace."""
+        return {
+            DemandKey(group, workspace): count
+            for group, pool in self._pools.items()
+            for workspace, count in pool.demands().items()
+        }
 
     async def async_enter(self, group: str, exchange: Exchange) -> Ticket:
         """Wait for a turn.
@@ -114,6 +117,7 @@
         """End a turn and let the next ones in."""
         pool = self._pool(group)
         pool.in_flight -= 1
+        pool.running[ticket.workspace] -= 1
         self._tokens_by_workspace[ticket.workspace] -= ticket.cost_tokens
         pool.queue.correct(ticket, used_tokens)
         if held_s > 0:
@@ -134,7 +138,7 @@
 
     def _expire(self, pool: _Pool) -> None:
         now_s = self._clock.now_s()
-        for ticket in pool.queue.drop_expired(now_s, pool.least_service_s):
+        for ticket in pool.queue.drop_expired(now_s, pool.expected_s):
             waiter = pool.waiters.pop(ticket)
             refusal = self._refusal(ResultCode.DEADLINE_UNREACHABLE, pool)
             if not waiter.done():
@@ -142,6 +146,7 @@
 
     def _begin(self, pool: _Pool, ticket: Ticket) -> None:
         pool.in_flight += 1
+        pool.running[ticket.workspace] += 1
         self._tokens_by_workspace[ticket.workspace] += ticket.cost_tokens
 
     def _let_in(self, group: str) -> None:
@@ -183,7 +188,7 @@
 
     def _check_wait(self, pool: _Pool, ticket: Ticket) -> None:
         wait_s = self._wait_s(pool, ticket)
-        ready_at_s = self._clock.now_s() + wait_s + pool.least_service_s(ticket)
+        ready_at_s = self._clock.now_s() + wait_s + pool.expected_s(ticket)
         if ready_at_s > ticket.deadline_at_s:
             raise self._refusal(ResultCode.DEADLINE_UNREACHABLE, pool)
 
@@ -201,7 +206,8 @@
         )
 
     def _limit(self, group: str) -> int:
-        return self._slots.limit(group, self.demand(group))
+        pool = self._pool(group)
+        return self._slots.limit(group, pool.demands(), pool.queue.weights)
 
     def _pool(self, group: str) -> _Pool:
         pool = self._pools.get(group)
--- a/yuccavalve/requests/slots.py
+++ b/yuccavalve/requests/slots.py
@@ -1,6 +1,7 @@
 """How many requests a daemon may have in flight, and where they run."""
 
 from collections import Counter
+from collections.abc import Mapping
 from random import Random
 from typing import Protocol
 
@@ -10,36 +11,37 @@
 from yuccavalve.load import (
     AffinityRouter,
     Candidate,
+    Demands,
+    DemandShares,
     ReplicaScores,
     Router,
-    daemon_share,
 )
+from yuccavalve.load.const import DEMAND_TOTALS_S
 from yuccavalve.membership import Roster
 from yuccavalve.replicas import GrantTable, Replica, ReplicaTable
 
-__all__ = ('Demands', 'ReplicaPicker', 'SlotSource')
+__all__ = ('ReplicaPicker', 'SlotSource')
 
 
 class SlotSource(Protocol):
     """Tells how many requests of a group may be in flight."""
 
-    def limit(self, group: str, demand: int) -> int:
-        """Return the bound for this daemon."""
-
-
-@attrs.define
-class Demands:
-    """What other daemons have in flight and queued, as last heard."""
+    def limit(
+        self,
+        group: str,
+        demands: Mapping[str, int],
+        weights: Mapping[str, float],
+    ) -> int:
+        """Return the bound for this daemon, from its demands."""
 
-    _by_member: dict[str, int] = attrs.field(factory=dict)
 
-    def note(self, member: str, demand: int) -> None:
-        """Note a member's demand."""
-        self._by_member[member] = demand
+@attrs.frozen
+class _Others:
+    """Demands of the other daemons for one group at a reading."""
 
-    def of(self, members: list[str]) -> list[int]:
-        """Return the demands of members that are alive."""
-        return [self._by_member.get(member, 0) for member in members]
+    at_s: float
+    totals: Counter[str]
+    live_members: int
 
 
 @attrs.define
@@ -56,27 +58,44 @@
     max_in_flight: int
     router: Router = AffinityRouter()
     _in_flight: Counter[str] = attrs.field(factory=Counter)
+    _kept_others: dict[str, _Others] = attrs.field(factory=dict)
     _since_report: Counter[str] = attrs.field(factory=Counter)
     _report_at_s: dict[str, float] = attrs.field(factory=dict)
 
-    def limit(self, group: str, demand: int) -> int:
+    def limit(
+        self,
+        group: str,
+        demands: Mapping[str, int],
+        weights: Mapping[str, float],
+    ) -> int:
         """Return how many requests this daemon may have in flight."""
         replicas = self.table.serving(group)
         if not replicas:
             return self.max_in_flight
+        others = self._others(group)
+        share = DemandShares(weights).share_of(
+            sum(replica.slots for replica in replicas),
+            demands,
+            others.totals + Counter(demands),
+            others.live_members,
+        )
+        return min(share, self.max_in_flight)
+
+    def _others(self, group: str) -> _Others:
+        """Return what the others demand, added up now and then."""
         now_s = self.clock.now_s()
-        others = [
+        kept = self._kept_others.get(group)
+        if kept is not None and now_s - kept.at_s < DEMAND_TOTALS_S:
+            return kept
+        names = [
             member.member
             for member in self.roster.live(now_s)
             if member.member != self.roster.own.member
         ]
-        share = daemon_share(
-            sum(replica.slots for replica in replicas),
-            demand,
-            self.demands.of(others),
-            len(others) + 1,
-        )
-        return min(share, self.max_in_flight)
+        totals = self.demands.totals(group, names)
+        kept = _Others(now_s, totals, len(names) + 1)
+        self._kept_others[group] = kept
+        return kept
 
     def pick(
         self,
--- a/yuccavalve/standin/engine.py
+++ b/yuccavalve/standin/engine.py
@@ -71,6 +71,8 @@
         Refuse to resume streams.
     slowdown
         Factor on the time between tokens.
+    dead
+        Answer as not ready, as after a missed peer, until the next load.
     """
 
     silent_after: int = -1
@@ -79,6 +81,7 @@
     ignore_resume: bool = False
     slowdown: float = 1
     mute_status: bool = False
+    dead: bool = False
 
 
 @attrs.define
@@ -223,6 +226,7 @@
     async def _async_faults(self, request: Request) -> Response:
         for name, setting in (await request.json()).items():
             setattr(self.faults, name, setting)
+        self._complete = self._complete and not self.faults.dead
         return JSONResponse(attrs.asdict(self.faults))
 
     async def _async_runs(self, request: Request) -> Response:
@@ -340,6 +344,7 @@
     async def _async_load(self) -> None:
         self._ready = False
         self._complete = True
+        self.faults.dead = False
         await asyncio.sleep(self.options.load_s)
         self._ready = True
 
--- a/yuccavalve/standin/platform.py
+++ b/yuccavalve/standin/platform.py
@@ -200,6 +200,9 @@
         return JSONResponse(attrs.asdict(self.faults))
 
     async def _async_counts(self, body: Any) -> Response:
+        if body.get('reset'):
+            self._writes = _Meter(WRITES_PER_S)
+            self._reads = _Meter(READS_PER_S)
         return JSONResponse(
             {
                 'reads': self._reads.total,
