Take rules away one by one and show that their sessions fail

Cause: most sessions had passed at their first run against the finished mechanism, so PROOFS could not say that they can fail. A request to a backend server is cut at each of its bytes as well, and never looks as not sent.

--- a/script/tools/bench.py
+++ b/script/tools/bench.py
@@ -24,9 +24,13 @@
     parser = argparse.ArgumentParser(prog='script/bench')
     parser.add_argument('name', nargs='?')
     parser.add_argument('--list', action='store_true')
+    parser.add_argument('--plots', action='store_true')
     parser.add_argument('--json', type=Path)
     parser.add_argument('--seed', type=int, default=1)
     arguments = parser.parse_args()
+    if arguments.plots:
+        importlib.import_module('script.tools.plots').write_plots()
+        return 0
     if arguments.list or arguments.name not in _BENCHES:
         for name, text in _BENCHES.items():
             print(f'{name:12} {text}')
--- /dev/null
+++ b/script/tools/prove/mutants.py
@@ -0,0 +1,107 @@
+"""Take one rule away at a time and show that its session fails.
+
+Each mutant is a copy of the tree with one piece of text replaced. A session
+that passes on its mutant proves nothing; it is printed as ``PASSED``.
+"""
+
+import concurrent.futures
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+import attrs
+
+__all__ = ('Mutant', 'load_mutants', 'run_mutants')
+
+_ROOT = Path(__file__).parents[3]
+_FILE = Path(__file__).with_suffix('.toml')
+_PARTS = ('yuccavalve', 'tests', 'script', 'setup.cfg', 'KNOWN-RED.txt')
+_AT_ONCE = 3
+_TIMEOUT_S = 240
+_REASON_CHARACTERS = 90
+_FAILED = re.compile('[1-9][0-9]* failed')
+_ERROR = re.compile(r'^[\w.]*Error\b.*$', re.MULTILINE)
+
+
+@attrs.frozen
+class Mutant:
+    """A rule taken away.
+
+    Attributes
+    ----------
+    test
+        Name of the session that has to fail.
+    path
+        File below the package.
+    kept, changed
+        Text that stands there and what takes its place.
+    """
+
+    test: str
+    path: str
+    kept: str
+    changed: str
+
+
+def load_mutants() -> list[Mutant]:
+    """Return the mutants of the file beside this module."""
+    document = tomllib.loads(_FILE.read_text())
+    return [Mutant(**entry) for entry in document['mutants']]
+
+
+def run_mutants(pattern: str = '') -> int:
+    """Run every mutant whose test matches; return how many passed."""
+    chosen = [each for each in load_mutants() if pattern in each.test]
+    with concurrent.futures.ThreadPoolExecutor(_AT_ONCE) as executor:
+        verdicts = list(executor.map(_run, chosen))
+    print(f'{verdicts.count(True)} of {len(verdicts)} mutants failed as due')
+    return verdicts.count(False)
+
+
+def _run(mutant: Mutant) -> bool:
+    with tempfile.TemporaryDirectory(prefix='mutant-') as directory:
+        root = Path(directory)
+        _copy(root)
+        _change(root, mutant)
+        finished = subprocess.run(
+            [sys.executable, '-m', 'script.tools.run_tests', mutant.test],
+            cwd=root,
+            env={**os.environ, 'PYTHONPATH': directory},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            timeout=_TIMEOUT_S,
+            check=False,
+        )
+    text = finished.stdout.decode(errors='replace')
+    caught = finished.returncode != 0 and _FAILED.search(text) is not None
+    verdict = 'failed ' if caught else 'PASSED '
+    reason = _last_error(text) if caught else text.strip()[-80:]
+    print(f'{verdict} {mutant.test} ({mutant.path}): {reason}', flush=True)
+    return caught
+
+
+def _copy(root: Path) -> None:
+    for part in _PARTS:
+        source = _ROOT / part
+        if source.is_dir():
+            shutil.copytree(source, root / part)
+        else:
+            shutil.copy(source, root / part)
+
+
+def _change(root: Path, mutant: Mutant) -> None:
+    path = root / 'yuccavalve' / mutant.path
+    text = path.read_text()
+    if text.count(mutant.kept) != 1:
+        raise ValueError(f'{mutant.path}: text of {mutant.test} not there once')
+    path.write_text(text.replace(mutant.kept, mutant.changed))
+
+
+def _last_error(text: str) -> str:
+    found = _ERROR.findall(text)
+    return found[-1][:_REASON_CHARACTERS] if found else 'no error line'
--- a/script/tools/prove/run.py
+++ b/script/tools/prove/run.py
@@ -11,6 +11,7 @@
 from script.tools.prove.configuration import ConfigurationModel
 from script.tools.prove.grants import GrantsModel
 from script.tools.prove.ledger import LedgerModel
+from script.tools.prove.mutants import run_mutants
 
 _MODELS: dict[str, tuple[Any, int]] = {
     'configuration': (ConfigurationModel, 800),
@@ -93,7 +94,10 @@
     parser = argparse.ArgumentParser(prog='script/prove')
     parser.add_argument('--search', type=float, metavar='MINUTES')
     parser.add_argument('--seed', type=int, default=1000)
+    parser.add_argument('--mutants', nargs='?', const='', metavar='TEST')
     arguments = parser.parse_args()
+    if arguments.mutants is not None:
+        return int(run_mutants(arguments.mutants) > 0)
     if arguments.search:
         return int(search(arguments.search, arguments.seed) > 0)
     return int(prove() > 0)
--- a/tests/requests/test_backend.py
+++ b/tests/requests/test_backend.py
@@ -10,6 +10,7 @@
     BackendNotReachedError,
 )
 
+_REQUEST = b'{"question": 7}'
 _BODY = b'{"answer": 123}'
 _SIZED = (
     b'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
@@ -29,6 +30,8 @@
         """Listen on a free port."""
         self.sent = b''
         self.requests = 0
+        self.request = b''
+        self.taken: int | None = None
         self.client = BackendClient()
         self.server = await asyncio.start_server(
             self._async_serve,
@@ -43,7 +46,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
+        if self.taken is not None:
+            await reader.readexactly(self.taken)
+            writer.transport.abort()
+            return
+        self.request = await reader.readuntil(b'\r\n\r\n')
+        if self.request.startswith(b'POST'):
+            self.request += await reader.readexactly(len(_REQUEST))
         self.requests += 1
         writer.write(self.sent)
         await writer.drain()
@@ -54,8 +63,8 @@
             method,
             f'127.0.0.1:{self.port}',
             '/',
-            {},
-            b'',
+            {'content-type': 'application/json'},
+            _REQUEST if method == 'POST' else b'',
             _WAIT_S,
         )
         stream = await self.client.async_open(call)
@@ -74,6 +83,19 @@
                 ):
                     await self._async_ask()
 
+    async def test_every_byte_of_the_request(self) -> None:
+        """A request cut anywhere may have run, once it has a connection."""
+        self.sent = _SIZED
+        await self._async_ask()
+        self.assertTrue(self.request.endswith(_REQUEST))
+        for taken in range(len(self.request) + 1):
+            self.taken = taken
+            with (
+                self.subTest(taken=taken),
+                self.assertRaises(BackendLostError),
+            ):
+                await self._async_ask()
+
     async def test_whole_answers(self) -> None:
         self.sent = _SIZED
         self.assertEqual(await self._async_ask(), _BODY)
