Prove a dark availability zone: daemons and hosts of one zone killed together

Two of five daemons and the hosts of a replica end at once; the others accept a change, form the replica again in another fabric domain and answer; the entry directory names only them.

--- a/script/tools/cluster.py
+++ b/script/tools/cluster.py
@@ -66,6 +66,7 @@
     """Settings of a daemon that tests vary."""
 
     region: str = 'region-1'
+    availability_zone: str = 'region-1-a'
     entry_lifetime_s: float = 1
     drain_bound_s: float = 30
     stream_idle_s: float = 3
@@ -180,7 +181,7 @@
 [daemon]
 name = "{name}"
 region = "{options.region}"
-availability_zone = "{options.region}-a"
+availability_zone = "{options.availability_zone}"
 caller_address = "127.0.0.1:0"
 peer_address = "{options.peer_address}"
 advertised_peer_address = "{options.advertised_peer_address}"
--- a/tests/sessions/test_together.py
+++ b/tests/sessions/test_together.py
@@ -6,7 +6,9 @@
 import attrs
 
 from script.tools.caller import Answer
+from script.tools.cluster import DaemonOptions
 from tests.support.session import SessionTest, granted
+from yuccavalve.access import key_digest
 from yuccavalve.const import GRANT_LIFETIME_S
 
 _LEAVING = 2003
@@ -27,6 +29,8 @@
 class TogetherSession(SessionTest):
     """Two failures at once, and daemons restarted in turn."""
 
+    zones: tuple[str, ...] = ('z1', 'z1', 'z1')
+
     async def test_dark_fabric_domain(self) -> None:
         await self.async_start(daemons=2, hosts=4, span=2, domains=2)
         lost = granted(await self.cluster.async_status('e0'))[0]
@@ -44,6 +48,52 @@
             self.assertFalse(set(hosts).intersection(lost['hosts']))
             self.assertTrue((await self.async_ask(name, 'after')).whole)
 
+    async def test_dark_availability_zone(self) -> None:
+        self.zones = ('z1', 'z1', 'z2', 'z3', 'z3')
+        names = await self.async_start(
+            daemons=len(self.zones),
+            hosts=4,
+            span=2,
+            domains=2,
+        )
+        await self.async_until_voters(names)
+        lost = granted(await self.cluster.async_status('e0'))[0]
+        for name in (*lost['hosts'], 'e0', 'e1'):
+            self.cluster.processes[name].kill()
+        left = names[2:]
+        reply = await self.cluster.async_edit(
+            'e2',
+            'workspaces',
+            'late',
+            {'key_digest': key_digest('late')},
+        )
+        self.assertEqual(reply.status, 200, reply.body)
+        for name in left:
+            status = await self.cluster.async_until(
+                name,
+                lambda status: any(
+                    replica['incarnation'] > lost['incarnation']
+                    for replica in granted(status)
+                ),
+            )
+            self.assertEqual(status['version'], reply.body['version'])
+            self.assertTrue((await self.async_ask(name, 'after')).whole)
+        entries = await self.caller.async_entries(self.address('e2'))
+        self.assertEqual(sorted(entries), sorted(map(self.address, left)))
+
+    async def async_start_daemon(
+        self,
+        name: str,
+        options: DaemonOptions | None,
+    ) -> None:
+        """Start a daemon in its availability zone."""
+        zone = self.zones[int(name[1:])]
+        chosen = attrs.evolve(
+            options or DaemonOptions(),
+            availability_zone=zone,
+        )
+        await self.cluster.async_start_daemon(name, chosen)
+
     async def test_host_killed_while_the_store_is_down(self) -> None:
         names = await self.async_start(daemons=3, hosts=3, span=2)
         await self.async_until_voters(names)
