--- a/script/tools/bench.py
+++ b/script/tools/bench.py
@@ -14,6 +14,7 @@
     'relay': 'processor time a token against a splice',
     'load': 'routing, fairness and retries against baselines',
     'daemons': 'fairness across daemons against other rules',
+    'shares': 'fairness across four daemons as processes',
     'membership': 'control cost and faults of 8 to 64 daemons',
     'planning': 'downtime and stranded hosts against greedy first fit',
 }
--- a/script/tools/plots.py
+++ b/script/tools/plots.py
@@ -24,7 +24,7 @@
     'core_share_mean': 'core share of a daemon',
     'memory_mb_mean': 'MB of a daemon',
     'peers_bytes_per_s_each': 'bytes a second to peers, pulled',
-    'platform_bytes_per_s_each': 'bytes a second to the platform',
+    'platform_bytes_per_s_all': 'bytes a second to the platform, all daemons',
     'store_reads_per_s': 'store reads a second, all daemons',
     'store_writes_per_s': 'store writes a second, all daemons',
 }
@@ -64,6 +64,9 @@
 def load_series(raw: Path) -> list[Series]:
     """Return all series of the raw results."""
     daemons = _read(raw, 'membership')['daemons']
+    for count, each in daemons.items():
+        sent = each['platform_bytes_per_s_each'] * int(count)
+        each['platform_bytes_per_s_all'] = sent
     by_daemons = [
         Series(
             name,
--- a/script/tools/prove/mutants.py
+++ b/script/tools/prove/mutants.py
@@ -68,15 +68,11 @@
         root = Path(directory)
         _copy(root)
         _change(root, mutant)
-        finished = subprocess.run(
-            [sys.executable, '-m', 'script.tools.run_tests', mutant.test],
-            cwd=root,
-            env={**os.environ, 'PYTHONPATH': directory},
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            timeout=_TIMEOUT_S,
-            check=False,
-        )
+        try:
+            finished = _run_test(mutant.test, root)
+        except subprocess.TimeoutExpired:
+            print(f'hung    {mutant.test} ({mutant.path})', flush=True)
+            return False
     text = finished.stdout.decode(errors='replace')
     caught = finished.returncode != 0 and _FAILED.search(text) is not None
     verdict = 'failed ' if caught else 'PASSED '
@@ -85,6 +81,18 @@
     return caught
 
 
+def _run_test(test: str, root: Path) -> subprocess.CompletedProcess[bytes]:
+    return subprocess.run(
+        [sys.executable, '-m', 'script.tools.run_tests', test],
+        cwd=root,
+        env={**os.environ, 'PYTHONPATH': str(root)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        timeout=_TIMEOUT_S,
+        check=False,
+    )
+
+
 def _copy(root: Path) -> None:
     for part in _PARTS:
         source = _ROOT / part
--- a/tests/sessions/test_kills.py
+++ b/tests/sessions/test_kills.py
@@ -1,16 +1,21 @@
 """A daemon killed at any step of a request that runs at most once."""
 
 import asyncio
+import functools
 
 import attrs
 
+from script.tools.caller import Answer
 from tests.support.session import SessionTest, once
+from yuccavalve.requests.const import LEDGER_KEY
 
 _RUNNING = 4004
 _UNKNOWN = 3003
 _SERVED = frozenset((1000, 1001))
 _KILL_DELAYS_S = (0.005, 0.012, 0.02, 0.03, 0.045, 0.07)
 _TOKENS = 4
+_LONG_TOKENS = 100
+_SETTLE_S = 40
 
 
 @attrs.frozen
@@ -41,9 +46,10 @@
     async def _async_settled(self, name: str, key: str) -> int:
         """Ask until no earlier attempt counts as running; return the code."""
         code = await self._async_duplicate(name, key)
-        while code == _RUNNING:
-            await asyncio.sleep(0.2)
-            code = await self._async_duplicate(name, key)
+        async with asyncio.timeout(_SETTLE_S):
+            while code == _RUNNING:
+                await asyncio.sleep(0.2)
+                code = await self._async_duplicate(name, key)
         return code
 
     async def test_before_the_first_byte(self) -> None:
@@ -53,8 +59,7 @@
         task = asyncio.create_task(
             self.async_ask('e0', 'k', _TOKENS, headers=once('k')),
         )
-        while await self._async_duplicate('e1', 'k') != _RUNNING:
-            await asyncio.sleep(0.02)
+        await self._async_until_row('k')
         self.cluster.processes['e0'].kill()
         engine.resume()
         await task
@@ -65,7 +70,7 @@
         names = await self.async_start(daemons=3)
         await self.async_until_voters(names)
         task = asyncio.create_task(
-            self.async_ask('e0', 'k', 100, headers=once('k')),
+            self.async_ask('e0', 'k', _LONG_TOKENS, headers=once('k')),
         )
         while not await self.async_runs():
             await asyncio.sleep(0.02)
@@ -73,7 +78,10 @@
         self.assertTrue((await task).whole)
         self.cluster.processes['e0'].kill()
         await self._async_table(down=False)
-        answer = await self.async_until_answer(self._ask_again, _UNKNOWN)
+        answer = await self.async_until_answer(
+            functools.partial(self._async_again, _LONG_TOKENS),
+            _UNKNOWN,
+        )
         self.assertEqual(answer.body['error']['ran'], 'unknown')
         self.assertEqual(len(await self.async_runs()), 1)
 
@@ -92,6 +100,18 @@
         keys = [run['key'] for run in await self.async_runs()]
         self.assertEqual(len(keys), len(set(keys)))
 
+    async def _async_until_row(self, key: str) -> None:
+        row_key = LEDGER_KEY.format(workspace='north', key=key)
+        rows = []
+        async with asyncio.timeout(_SETTLE_S):
+            while not rows:
+                body = await self.cluster.async_admin(
+                    'platform',
+                    '/table/read',
+                    {'keys': [row_key]},
+                )
+                rows = body['rows']
+
     async def _async_kill_during(self, attempt: _Attempt) -> None:
         task = asyncio.create_task(
             self._async_duplicate(attempt.daemon, attempt.key),
@@ -100,8 +120,8 @@
         self.cluster.processes[attempt.daemon].kill()
         await task
 
-    async def _ask_again(self):  # type: ignore[no-untyped-def]
-        return await self.async_ask('e1', 'k', 100, headers=once('k'))
+    async def _async_again(self, tokens: int) -> Answer:
+        return await self.async_ask('e1', 'k', tokens, headers=once('k'))
 
     async def _async_table(self, *, down: bool) -> None:
         await self.cluster.async_admin(
--- a/yuccavalve/daemon/planner_duty.py
+++ b/yuccavalve/daemon/planner_duty.py
@@ -7,14 +7,10 @@
 import attrs
 from absl import logging
 
-from yuccavalve.const import (
-    ENGINE_STUCK_S,
-    GRANT_LIFETIME_S,
-    HOST_MISSING_S,
-)
+from yuccavalve.daemon.host_watch import HostWatch
 from yuccavalve.daemon.node import Node
 from yuccavalve.daemon.spread import async_revoke
-from yuccavalve.daemon.verify_loop import async_probe, is_host_of
+from yuccavalve.daemon.verify_loop import async_probe
 from yuccavalve.exceptions import (
     EngineRefusedError,
     EngineUnreachableError,
@@ -45,10 +41,7 @@
 
 __all__ = ('PlannerDuty',)
 
-_UNREACHABLE_KEEP_S = 5.0
 _LOAD_BOUND_S = 900.0
-_PROBE_AHEAD_S = 1.5
-_VOUCHED_S = GRANT_LIFETIME_S - _PROBE_AHEAD_S
 _COUNTED = frozenset(
     (ReplicaState.FORMING, ReplicaState.LOADING, ReplicaState.SERVING),
 )
@@ -61,12 +54,15 @@
     node: Node
     planner: Planner = SpanPlanner()
     _listings: dict[str, HostListing] = attrs.field(factory=dict)
-    _missing_since_s: dict[str, float] = attrs.field(factory=dict)
     _since_s: dict[tuple[str, ReplicaState], float] = attrs.field(
         factory=dict,
     )
     _short_since_s: dict[str, float] = attrs.field(factory=dict)
-    _unreachable_until_s: dict[str, float] = attrs.field(factory=dict)
+    _watch: HostWatch = attrs.field(init=False)
+
+    @_watch.default
+    def _new_watch(self) -> HostWatch:
+        return HostWatch(self.node)
 
     async def async_run_once(self, lease: Lease) -> None:
         """Follow up what is under way, then plan."""
@@ -89,7 +85,7 @@
     def lapse(self) -> None:
         """Forget what another holder may have changed."""
         self.node.usage.pause()
-        self._missing_since_s = {}
+        self._watch.lapse()
         self._short_since_s = {}
 
     def _forget_except(self, replicas: set[str]) -> None:
@@ -98,11 +94,7 @@
             for key, since_s in self._since_s.items()
             if key[0] in replicas
         }
-        self._missing_since_s = {
-            key: since_s
-            for key, since_s in self._missing_since_s.items()
-            if key.partition('/')[0] in replicas
-        }
+        self._watch.forget_except(replicas)
 
     async def _async_list_hosts(self) -> None:
         try:
@@ -125,10 +117,10 @@
         if record.state is ReplicaState.DRAINING:
             await self._async_follow_drain(term, record)
             return
-        if self._is_vouched_for(record):
+        if self._watch.is_vouched_for(record):
             return
         statuses = await async_probe(self.node, record)
-        if self._is_lost(record, statuses):
+        if self._watch.is_lost(record, statuses):
             await self._async_break(term, record)
         elif record.state is ReplicaState.LOADING:
             await self._async_verify(term, record, statuses)
@@ -269,8 +261,7 @@
                 listing.state,
             )
             for name, listing in self._listings.items()
-            if self._unreachable_until_s.get(name, 0) <= now_s
-            and listing.address not in plain
+            if self._watch.may_use(name, now_s) and listing.address not in plain
         }
 
     async def _async_move(
@@ -332,7 +323,7 @@
         try:
             await self.node.platform.engines.async_status(host.address)
         except EngineUnreachableError:
-            self._note_unreachable(host.host)
+            self._watch.note_unreachable(host.host)
             return False
         return True
 
@@ -374,69 +365,3 @@
             )
             node.replicas.merge([successor], node.clock.now_s())
         return successor
-
-    def _is_vouched_for(self, record: Replica) -> bool:
-        """Tell whether verifiers' evidence is young enough not to probe."""
-        if record.state is not ReplicaState.SERVING:
-            return False
-        now_s = self.node.clock.now_s()
-        grant = self.node.grants.current(
-            record.replica,
-            record.incarnation,
-            now_s,
-        )
-        return grant is not None and now_s - grant.at_s < _VOUCHED_S
-
-    def _is_lost(
-        self,
-        record: Replica,
-        statuses: list[EngineStatus | None],
-    ) -> bool:
-        """Tell whether a host is gone for certain or for long enough.
-
-        A verifier's grant outweighs the own failed probes, since the
-        planner may be the one that is cut off.
-        """
-        now_s = self.node.clock.now_s()
-        if self.node.grants.is_broken(record.replica):
-            return True
-        lost = False
-        for host, status in zip(record.hosts, statuses, strict=True):
-            key = f'{record.replica}/{host.host}'
-            if status is not None and not is_host_of(status, record, host):
-                return True
-            if status is not None:
-                self._missing_since_s.pop(key, None)
-                continue
-            self._note_unreachable(host.host)
-            since_s = self._missing_since_s.setdefault(key, now_s)
-            lost = lost or now_s - since_s >= HOST_MISSING_S
-        granted = self.node.grants.current(
-            record.replica,
-            record.incarnation,
-            now_s,
-        )
-        return granted is None and (lost or self._is_stuck(record, statuses))
-
-    def _is_stuck(
-        self,
-        record: Replica,
-        statuses: list[EngineStatus | None],
-    ) -> bool:
-        """Tell whether hosts are there, but one does not serve any more.
-
-        An engine that missed another host does not recover by itself.
-        """
-        key = f'{record.replica}/ready'
-        unready = any(status and not status.ready for status in statuses)
-        if record.state is not ReplicaState.SERVING or not unready:
-            self._missing_since_s.pop(key, None)
-            return False
-        now_s = self.node.clock.now_s()
-        since_s = self._missing_since_s.setdefault(key, now_s)
-        return now_s - since_s >= ENGINE_STUCK_S
-
-    def _note_unreachable(self, host: str) -> None:
-        """Leave a host out of plans for a while; the list lags."""
-        now_s = self.node.clock.now_s()
-        self._unreachable_until_s[host] = now_s + _UNREACHABLE_KEEP_S
