--- /dev/null
+++ b/tests/membership/test_registry.py
@@ -0,0 +1,50 @@
+"""Rows of members that are gone are removed, of living ones never."""
+
+import unittest
+
+from tests.support.builders import member
+from tests.support.fakes import FakeTable
+from yuccavalve.membership import MemberRegistry
+from yuccavalve.membership.const import MEMBERS_MARK_KEY
+
+_LAPSE_S = 60
+
+
+class SweepTest(unittest.IsolatedAsyncioTestCase):
+    """Suspects of one holder."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        """Register one member."""
+        self.table = FakeTable()
+        self.registry = MemberRegistry(self.table)
+        self.member = member('e1')
+        self.names = [self.member.member]
+        await self.registry.async_write(self.member)
+
+    async def _async_sweep(self, now_s: float) -> list[str]:
+        return await self.registry.async_sweep(self.names, now_s, _LAPSE_S)
+
+    async def test_row_that_stays_as_it_is(self) -> None:
+        self.assertEqual(await self._async_sweep(0), [])
+        self.assertEqual(await self._async_sweep(_LAPSE_S - 1), [])
+        self.assertEqual(await self._async_sweep(_LAPSE_S), self.names)
+        self.assertEqual(await self.registry.async_list(), [])
+        self.assertIn(MEMBERS_MARK_KEY, self.table.rows)
+
+    async def test_renewed_row_stays(self) -> None:
+        await self._async_sweep(0)
+        await self.registry.async_write(self.member)
+        self.assertEqual(await self._async_sweep(_LAPSE_S), [])
+        self.assertEqual(await self._async_sweep(_LAPSE_S + 1), [])
+        self.assertEqual(await self.registry.async_list(), [self.member])
+
+    async def test_suspect_that_was_heard_of_begins_anew(self) -> None:
+        await self._async_sweep(0)
+        await self.registry.async_sweep([], 1, _LAPSE_S)
+        self.assertEqual(await self._async_sweep(_LAPSE_S + 1), [])
+
+    async def test_each_removal_writes_the_mark(self) -> None:
+        await self.registry.async_remove(self.member.member)
+        first = self.table.rows[MEMBERS_MARK_KEY].version
+        await self.registry.async_remove('e2-boot')
+        self.assertGreater(self.table.rows[MEMBERS_MARK_KEY].version, first)
--- a/tests/peers/test_exchange.py
+++ b/tests/peers/test_exchange.py
@@ -9,7 +9,7 @@
 from yuccavalve.load import Demands
 from yuccavalve.membership import Roster
 from yuccavalve.peers import PeerState
-from yuccavalve.peers.exchange import AGE_UNIT_S, age_byte
+from yuccavalve.peers.messages import AGE_UNIT_S, age_byte
 from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
 
 _NAMES = ('a', 'bb', 'ccc')
--- a/yuccavalve/peers/exchange.py
+++ b/yuccavalve/peers/exchange.py
@@ -22,22 +22,23 @@
 )
 from yuccavalve.membership import Member, Roster
 from yuccavalve.peers.generated import peer_pb2
+from yuccavalve.peers.messages import (
+    AGE_UNIT_S,
+    age_byte,
+    age_ms,
+    head_of,
+    member_of,
+    run_of,
+    voter_age,
+)
 from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
 from yuccavalve.replicas.claims import decode_replica, encode_replica
 
-__all__ = (
-    'AGE_UNIT_S',
-    'PeerState',
-    'Wanted',
-    'age_byte',
-    'head_of',
-    'member_of',
-)
+__all__ = ('PeerState', 'Wanted')
 
 _MS = 1000
 _AGE_LIMIT_S = 60.0
 _BYTE_MAX = 255
-AGE_UNIT_S = 0.064
 
 
 @attrs.frozen
@@ -50,24 +51,6 @@
     introduction: bool
 
 
-def head_of(member: Member) -> peer_pb2.MemberHead:
-    """Return a member as a message."""
-    return peer_pb2.MemberHead(**attrs.asdict(member))
-
-
-def member_of(head: peer_pb2.MemberHead) -> Member:
-    """Return the member in a message."""
-    return Member(
-        member=head.member,
-        name=head.name,
-        region=head.region,
-        availability_zone=head.availability_zone,
-        caller_address=head.caller_address,
-        peer_address=head.peer_address,
-        leaving=head.leaving,
-    )
-
-
 @attrs.define
 class PeerState:
     """The parts of a daemon's state that peers exchange."""
@@ -114,7 +97,7 @@
             message.sender.CopyFrom(head_of(own))
         store_age_s = now_s - self.adoption.store_at_s
         if store_age_s < _AGE_LIMIT_S:
-            message.store_age_ms = _age_ms(store_age_s)
+            message.store_age_ms = age_ms(store_age_s)
         self._add_members(message, now_s, request.members_digest)
         self._add_voters(message, now_s, request.version)
         self._add_grants(message, now_s, request.replicas_digest)
@@ -197,7 +180,7 @@
         message.member_index = self.random.randrange(len(names))
         message.member_ages = bytes(
             self._member_byte(name, now_s)
-            for name in _run(names, message.member_index, DIGEST_RUN)
+            for name in run_of(names, message.member_index, DIGEST_RUN)
         )
 
     def _member_byte(self, name: str, now_s: float) -> int:
@@ -217,7 +200,7 @@
             if known.version <= self.adoption.version
         ]
         if version != self.adoption.version:
-            message.voters.extend(_voter_age(row, now_s) for row in reports)
+            message.voters.extend(voter_age(row, now_s) for row in reports)
             return
         by_voter = {each.voter: each for each in reports}
         ages = []
@@ -252,7 +235,7 @@
                 message.grants.add(
                     replica=each.replica,
                     incarnation=each.incarnation,
-                    age_ms=_age_ms(now_s - each.at_s),
+                    age_ms=age_ms(now_s - each.at_s),
                     load=each.load,
                 )
             return
@@ -316,7 +299,7 @@
         if reply.members_digest != self.roster.index().digest:
             return
         length = len(reply.member_ages)
-        names = _run(self.roster.index().ids, reply.member_index, length)
+        names = run_of(self.roster.index().ids, reply.member_index, length)
         for name, age in zip(names, reply.member_ages, strict=True):
             if age:
                 self.roster.hear(name, sent_at_s - age * AGE_UNIT_S)
@@ -378,28 +361,3 @@
             grant = Grant(record.replica, record.incarnation, at_s, load)
             if age:
                 self.grants.offer(grant)
-
-
-def _voter_age(report: Evidence, now_s: float) -> peer_pb2.VoterAge:
-    return peer_pb2.VoterAge(
-        voter=report.voter,
-        age_ms=_age_ms(now_s - report.at_s),
-        version=report.version,
-    )
-
-
-def _run(names: list[str], index: int, length: int) -> list[str]:
-    """Return names from an index on, going round at the end."""
-    return (names[index:] + names)[: min(length, len(names))]
-
-
-def age_byte(age_s: float) -> int:
-    """Return an age in units of a byte, rounded up; 0 when it is too old."""
-    if age_s >= AGE_UNIT_S * (_BYTE_MAX - 1):
-        return 0
-    return int(max(0, age_s) / AGE_UNIT_S) + 1
-
-
-def _age_ms(age_s: float) -> int:
-    """Round an age up, so that it never says too little."""
-    return max(0, int(age_s * _MS) + 1)
--- /dev/null
+++ b/yuccavalve/peers/messages.py
@@ -0,0 +1,65 @@
+"""Members, ages and runs as parts of peer messages."""
+
+import attrs
+
+from yuccavalve.configuration import Evidence
+from yuccavalve.membership import Member
+from yuccavalve.peers.generated import peer_pb2
+
+__all__ = (
+    'AGE_UNIT_S',
+    'age_byte',
+    'age_ms',
+    'head_of',
+    'member_of',
+    'run_of',
+    'voter_age',
+)
+
+_MS = 1000
+_BYTE_MAX = 255
+AGE_UNIT_S = 0.064
+
+
+def head_of(member: Member) -> peer_pb2.MemberHead:
+    """Return a member as a message."""
+    return peer_pb2.MemberHead(**attrs.asdict(member))
+
+
+def member_of(head: peer_pb2.MemberHead) -> Member:
+    """Return the member in a message."""
+    return Member(
+        member=head.member,
+        name=head.name,
+        region=head.region,
+        availability_zone=head.availability_zone,
+        caller_address=head.caller_address,
+        peer_address=head.peer_address,
+        leaving=head.leaving,
+    )
+
+
+def voter_age(report: Evidence, now_s: float) -> peer_pb2.VoterAge:
+    """Return a voter's report with its age."""
+    return peer_pb2.VoterAge(
+        voter=report.voter,
+        age_ms=age_ms(now_s - report.at_s),
+        version=report.version,
+    )
+
+
+def run_of(names: list[str], index: int, length: int) -> list[str]:
+    """Return names from an index on, going round at the end."""
+    return (names[index:] + names)[: min(length, len(names))]
+
+
+def age_byte(age_s: float) -> int:
+    """Return an age in units of a byte, rounded up; 0 when it is too old."""
+    if age_s >= AGE_UNIT_S * (_BYTE_MAX - 1):
+        return 0
+    return int(max(0, age_s) / AGE_UNIT_S) + 1
+
+
+def age_ms(age_s: float) -> int:
+    """Round an age up, so that it never says too little."""
+    return max(0, int(age_s * _MS) + 1)
