--- a/tests/peers/test_exchange.py
+++ b/tests/peers/test_exchange.py
@@ -9,7 +9,12 @@
 from yuccavalve.load import Demands
 from yuccavalve.membership import Roster
 from yuccavalve.peers import PeerState
-from yuccavalve.peers.messages import AGE_UNIT_S, age_byte
+from yuccavalve.peers.messages import (
+    AGE_UNIT_S,
+    age_byte,
+    pack_configuration,
+    unpack_configuration,
+)
 from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
 
 _NAMES = ('a', 'bb', 'ccc')
@@ -91,3 +96,11 @@
         self.assertEqual(age_byte(AGE_UNIT_S * 300), 0)
         for age_s in (0.01, 1.0, 7.3):
             self.assertGreaterEqual(age_byte(age_s) * AGE_UNIT_S, age_s)
+
+
+class PackTest(unittest.TestCase):
+    """Configurations travel compressed."""
+
+    def test_there_and_back(self) -> None:
+        whole = configuration(5, Electorate(voters(*_NAMES)))
+        self.assertEqual(unpack_configuration(pack_configuration(whole)), whole)
--- a/yuccavalve/daemon/peer_loop.py
+++ b/yuccavalve/daemon/peer_loop.py
@@ -5,12 +5,12 @@
 import attrs
 from absl import logging
 
-from yuccavalve.configuration.codec import decode_configuration
 from yuccavalve.const import GOSSIP_FANOUT, GOSSIP_PERIOD_S
 from yuccavalve.daemon.node import Node
 from yuccavalve.membership import PeerView
 from yuccavalve.peers import PeerUnreachableError
 from yuccavalve.peers.generated import peer_pb2
+from yuccavalve.peers.messages import unpack_configuration
 from yuccavalve.timing import jittered
 
 __all__ = ('PeerLoop',)
@@ -93,4 +93,4 @@
             'Adopt',
             peer_pb2.AdoptRequest(want=True),
         )
-        self.node.adoption.adopt(decode_configuration(reply.configuration))
+        self.node.adoption.adopt(unpack_configuration(reply.configuration))
--- a/yuccavalve/daemon/spread.py
+++ b/yuccavalve/daemon/spread.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 from yuccavalve.configuration import Configuration, Evidence
-from yuccavalve.configuration.codec import encode_configuration
 from yuccavalve.daemon.node import Node
 from yuccavalve.peers import PeerUnreachableError
 from yuccavalve.peers.generated import peer_pb2
+from yuccavalve.peers.messages import pack_configuration
 from yuccavalve.replicas import Replica
 
 __all__ = ('async_push_configuration', 'async_revoke')
@@ -22,7 +22,7 @@
     """Offer a version to every live member and note who took it."""
     node.adoption.adopt(configuration)
     request = peer_pb2.AdoptRequest(
-        configuration=encode_configuration(configuration),
+        configuration=pack_configuration(configuration),
     )
     await _async_to_all(node, 'Adopt', request)
 
--- a/yuccavalve/peers/messages.py
+++ b/yuccavalve/peers/messages.py
@@ -1,8 +1,14 @@
-"""Members, ages and runs as parts of peer messages."""
+"""Configurations, members, ages and runs as parts of peer messages."""
+
+import zlib
 
 import attrs
 
-from yuccavalve.configuration import Evidence
+from yuccavalve.configuration import Configuration, Evidence
+from yuccavalve.configuration.codec import (
+    decode_configuration,
+    encode_configuration,
+)
 from yuccavalve.membership import Member
 from yuccavalve.peers.generated import peer_pb2
 
@@ -12,11 +18,14 @@
     'age_ms',
     'head_of',
     'member_of',
+    'pack_configuration',
     'run_of',
+    'unpack_configuration',
     'voter_age',
 )
 
 _MS = 1000
+_MAX_BYTES = 4194304
 _BYTE_MAX = 255
 AGE_UNIT_S = 0.064
 
@@ -39,6 +48,23 @@
     )
 
 
+def pack_configuration(configuration: Configuration) -> bytes:
+    """Return a configuration as compressed JSON."""
+    return zlib.compress(encode_configuration(configuration))
+
+
+def unpack_configuration(packed: bytes) -> Configuration:
+    """Return what ``pack_configuration`` wrote.
+
+    Raises
+    ------
+    zlib.error, ValueError
+        When the bytes are not a configuration.
+    """
+    unpacker = zlib.decompressobj()
+    return decode_configuration(unpacker.decompress(packed, _MAX_BYTES))
+
+
 def voter_age(report: Evidence, now_s: float) -> peer_pb2.VoterAge:
     """Return a voter's report with its age."""
     return peer_pb2.VoterAge(
--- a/yuccavalve/peers/server.py
+++ b/yuccavalve/peers/server.py
@@ -5,13 +5,10 @@
 import grpc
 
 from yuccavalve.access import keys_equal
-from yuccavalve.configuration.codec import (
-    decode_configuration,
-    encode_configuration,
-)
 from yuccavalve.peers.const import KEY_METADATA, SERVER_OPTIONS
 from yuccavalve.peers.exchange import PeerState
 from yuccavalve.peers.generated import peer_pb2, peer_pb2_grpc
+from yuccavalve.peers.messages import pack_configuration, unpack_configuration
 
 __all__ = ('PeerServer',)
 
@@ -45,7 +42,7 @@
         """Take a newer configuration; return the one in force if wanted."""
         adoption = self._state.adoption
         if request.configuration:
-            offered = decode_configuration(request.configuration)
+            offered = unpack_configuration(request.configuration)
             adoption.adopt(offered)
         reply = peer_pb2.AdoptReply(
             name=adoption.name,
@@ -53,7 +50,7 @@
             votes=adoption.votes,
         )
         if request.want:
-            reply.configuration = encode_configuration(adoption.configuration)
+            reply.configuration = pack_configuration(adoption.configuration)
         return reply
 
     async def Describe(self, request: Any, context: Any) -> Any:  # noqa: N802
