Let a new daemon be pulled from at once

Cause: the membership bench (32 and 64 daemons) showed 60 and 100 s until all others held a new daemon alive. Ruled out: learning its record, which takes two contacts. Change: a daemon introduces itself with each pull for its first 20 s and pulls from six peers a round; who is introduced takes the newcomer into its view; a newcomer asks for the members it lacks.

--- a/script/tools/benches/spread.py
+++ b/script/tools/benches/spread.py
@@ -23,13 +23,14 @@
 )
 from yuccavalve.const import (
     GOSSIP_FANOUT,
+    GOSSIP_FANOUT_NEW,
     GOSSIP_PERIOD_S,
     MAX_VOTERS_PER_REGION,
     PROBE_PERIOD_S,
 )
 from yuccavalve.hashing import rendezvous_order
 from yuccavalve.load import DemandKey, Demands
-from yuccavalve.membership import Member, PeerView, Roster
+from yuccavalve.membership import Member, Roster
 from yuccavalve.peers import PeerState
 from yuccavalve.peers.const import (
     CHANNEL_IDLE_S,
@@ -55,6 +56,7 @@
 _LOSS = 0.01
 _VERIFIERS = 2
 _WORKSPACES = 10
+_JOIN_BOUND_S = 120
 
 
 class _Network:
@@ -91,11 +93,11 @@
         ]
         electorate = self._electorate()
         self.nodes = [self._node(member, electorate) for member in self.members]
-        self.views = [PeerView(node.roster) for node in self.nodes]
         self.indexes = {
             member.member: index for index, member in enumerate(self.members)
         }
         self.used_at_s: dict[tuple[int, int], float] = {}
+        self.strangers: set[tuple[int, int]] = set()
         self.dead: set[int] = set()
 
     def at(self, delay_s: float, call: Callable[[], None]) -> None:
@@ -122,6 +124,14 @@
                     lambda i=index, r=replica: self._verify(i, r),
                 )
 
+    def add(self, member: Member) -> None:
+        """Start one more daemon, which has read the members' rows."""
+        self.members.append(member)
+        self.indexes[member.member] = len(self.nodes)
+        electorate = self.nodes[0].adoption.configuration.electorate
+        self.nodes.append(self._node(member, electorate))
+        self._pull(len(self.nodes) - 1)
+
     def _electorate(self) -> Electorate:
         voters = []
         for region in ('region-0', 'region-1'):
@@ -183,11 +193,9 @@
     def _pull(self, index: int) -> None:
         if index in self.dead:
             return
-        drawn = self.views[index].draw(
-            self.random,
-            self.clock.now_s(),
-            GOSSIP_FANOUT,
-        )
+        node = self.nodes[index]
+        count = GOSSIP_FANOUT_NEW if node.is_new() else GOSSIP_FANOUT
+        drawn = node.view.draw(self.random, self.clock.now_s(), count)
         for member in drawn:
             self._send(index, self.indexes[member.member])
         period_s = GOSSIP_PERIOD_S * self.random.uniform(0.8, 1.2)
@@ -195,23 +203,41 @@
 
     def _send(self, index: int, other: int) -> None:
         sent_at_s = self.clock.now_s()
-        request = self.nodes[index].request()
+        pair = (index, other)
+        request = self.nodes[index].request(introduce=pair in self.strangers)
+        self.strangers.discard(pair)
 
         def arrive() -> None:
             if other in self.dead or self.random.random() < _LOSS:
-                self.views[index].drop(self.members[other].member)
+                self.nodes[index].view.drop(self.members[other].member)
                 return
             reply = self.nodes[other].reply(request)
             self.bytes += request.ByteSize() + reply.ByteSize() + FRAME_BYTES
             self._count_channel(index, other)
             self.pulls += 1
-            self.at(
-                self.random.uniform(*_DELAY_S),
-                lambda: self.nodes[index].read(reply, sent_at_s),
-            )
+            delay_s = self.random.uniform(*_DELAY_S)
+            self.at(delay_s, lambda: self._read(index, other, reply, sent_at_s))
 
         self.at(self.random.uniform(*_DELAY_S), arrive)
 
+    def _read(
+        self,
+        index: int,
+        other: int,
+        reply: Any,
+        sent_at_s: float,
+    ) -> None:
+        node, peer = self.nodes[index], self.nodes[other]
+        wanted = node.read(reply, sent_at_s)
+        if wanted.introduction:
+            self.strangers.add((index, other))
+        if wanted.members:
+            request = node.describe_request()
+            description = peer.describe(request)
+            sizes = request.ByteSize() + description.ByteSize()
+            self.bytes += sizes + FRAME_BYTES
+            node.read_description(description)
+
     def _count_channel(self, index: int, other: int) -> None:
         """Count a new channel unless the last one is still kept."""
         now_s = self.clock.now_s()
@@ -269,6 +295,7 @@
             )
             suspected += count - len(node.roster.live(now_s))
     sent = network.bytes / _RUN_S / count
+    joined = _join(network)
     detected = _detect(network)
     return {
         'grant_age_s': _quantiles(grants),
@@ -277,6 +304,7 @@
         'member_news_age_s': _quantiles(silent),
         'falsely_suspected_share': round(suspected / len(silent), 6),
         'patience_s': round(network.nodes[0].roster.patience_s(), 1),
+        'joiner_seen_by_all_s': joined,
         'dead_member_detected_s': detected,
         'bytes_per_s_pulled': round(sent),
         'bytes_per_s_both_ways': round(2 * sent),
@@ -288,6 +316,30 @@
     }
 
 
+def _join(network: _Network) -> float:
+    """Return the time until every daemon holds a new member alive."""
+    number = len(network.nodes)
+    joiner = Member(
+        'entry-new-0123abcd',
+        'entry-new',
+        'region-0',
+        'zone-0',
+        '10.0.9.9:7000',
+        '10.0.9.9:7001',
+    )
+    network.add(joiner)
+    began_s = network.clock.now_s()
+    while network.clock.now_s() - began_s < _JOIN_BOUND_S:
+        network.run(0.5)
+        now_s = network.clock.now_s()
+        if all(
+            node.roster.is_alive(joiner.member, now_s)
+            for node in network.nodes[:number]
+        ):
+            return round(now_s - began_s, 1)
+    return -1
+
+
 def _detect(network: _Network) -> float:
     """Return the mean time until others hold a dead member dead."""
     victim = len(network.nodes) - 1
--- a/yuccavalve/const.py
+++ b/yuccavalve/const.py
@@ -29,7 +29,10 @@
 # Peers.
 GOSSIP_PERIOD_S: Final = 1.0
 GOSSIP_FANOUT: Final = 2
+# While a daemon is new, so that others soon pull from it.
+GOSSIP_FANOUT_NEW: Final = 6
 PEER_TIMEOUT_S: Final = 1.5
+INTRODUCTION_S: Final = 20.0
 PEER_SUSPECT_S: Final = 6.0
 SUSPECT_PER_MEMBER_S: Final = 0.1
 DIGEST_MEMBERS: Final = 16
--- a/yuccavalve/daemon/peer_loop.py
+++ b/yuccavalve/daemon/peer_loop.py
@@ -5,9 +5,12 @@
 import attrs
 from absl import logging
 
-from yuccavalve.const import GOSSIP_FANOUT, GOSSIP_PERIOD_S
+from yuccavalve.const import (
+    GOSSIP_FANOUT,
+    GOSSIP_FANOUT_NEW,
+    GOSSIP_PERIOD_S,
+)
 from yuccavalve.daemon.node import Node
-from yuccavalve.membership import PeerView
 from yuccavalve.peers import PeerUnreachableError
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.peers.messages import unpack_configuration
@@ -22,11 +25,6 @@
 
     node: Node
     _strangers: set[str] = attrs.field(factory=set)
-    _view: PeerView = attrs.field(init=False)
-
-    @_view.default
-    def _new_view(self) -> PeerView:
-        return PeerView(self.node.roster)
 
     async def async_run(self) -> None:
         """Pull until cancelled."""
@@ -49,11 +47,9 @@
     def _targets(self) -> list[tuple[str, str]]:
         """Return names and addresses; seeds have no name."""
         node = self.node
-        drawn = self._view.draw(
-            node.random,
-            node.clock.now_s(),
-            GOSSIP_FANOUT,
-        )
+        state = node.peer_state
+        count = GOSSIP_FANOUT_NEW if state.is_new() else GOSSIP_FANOUT
+        drawn = state.view.draw(node.random, node.clock.now_s(), count)
         if drawn:
             return [(each.member, each.peer_address) for each in drawn]
         seeds = node.settings.daemon.peer_seeds
@@ -84,7 +80,7 @@
                 )
                 node.peer_state.read_description(description)
         except PeerUnreachableError as error:
-            self._view.drop(name)
+            node.peer_state.view.drop(name)
             logging.info('peer=%s not reached: %s', address, error)
 
     async def _async_fetch_configuration(self, address: str) -> None:
--- a/yuccavalve/membership/view.py
+++ b/yuccavalve/membership/view.py
@@ -40,6 +40,14 @@
         drawn = random.sample(self._names, min(count, len(self._names)))
         return [others[name] for name in drawn]
 
+    def adopt(self, member: str) -> None:
+        """Take up a newcomer in place of the oldest peer.
+
+        Until enough others pull from it, its news would come too seldom.
+        """
+        if member not in self._names:
+            self._names = [*self._names[1 - self.size :], member]
+
     def drop(self, member: str) -> None:
         """Make room for another peer in place of one that did not answer."""
         if member in self._names:
--- a/yuccavalve/peers/exchange.py
+++ b/yuccavalve/peers/exchange.py
@@ -12,7 +12,7 @@
 
 from yuccavalve.clock import Clock
 from yuccavalve.configuration import AdoptionState, Evidence
-from yuccavalve.const import DIGEST_RUN, PROTOCOL_VERSION
+from yuccavalve.const import DIGEST_RUN, INTRODUCTION_S, PROTOCOL_VERSION
 from yuccavalve.hashing import tiny_id
 from yuccavalve.load import (
     DemandKey,
@@ -20,7 +20,7 @@
     decode_demands,
     encode_demands,
 )
-from yuccavalve.membership import Member, Roster
+from yuccavalve.membership import Member, PeerView, Roster
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.peers.messages import (
     AGE_UNIT_S,
@@ -63,6 +63,20 @@
     clock: Clock
     random: Random
     own_demands: Callable[[], Mapping[DemandKey, int]] = dict
+    view: PeerView = attrs.field(init=False)
+    introduced_until_s: float = attrs.field(init=False)
+
+    @view.default
+    def _new_view(self) -> PeerView:
+        return PeerView(self.roster)
+
+    @introduced_until_s.default
+    def _introduction_end_s(self) -> float:
+        return self.clock.now_s() + INTRODUCTION_S
+
+    def is_new(self) -> bool:
+        """Tell whether this daemon has started lately."""
+        return self.clock.now_s() < self.introduced_until_s
 
     def request(self, *, introduce: bool = False) -> peer_pb2.PullRequest:
         """Return a request for a peer's digest."""
@@ -73,7 +87,7 @@
             replicas_digest=self.table.digest(),
             members_digest=self.roster.index().digest,
         )
-        if introduce or self.roster.own.leaving:
+        if introduce or self.is_new() or self.roster.own.leaving:
             message.sender.CopyFrom(head_of(self.roster.own))
         return message
 
@@ -92,6 +106,7 @@
         )
         if request.HasField('sender'):
             self.roster.learn(member_of(request.sender))
+            self.view.adopt(request.sender.member)
         message.introduce = request.member not in self.roster.index().by_tiny_id
         if request.HasField('sender') or message.introduce or own.leaving:
             message.sender.CopyFrom(head_of(own))
@@ -130,7 +145,7 @@
         return Wanted(
             configuration=reply.version > self.adoption.version,
             replicas=reply.replicas_digest != self.table.digest(),
-            members=unknown or sender is None,
+            members=unknown or sender is None or self._lacks_members(reply),
             introduction=reply.introduce,
         )
 
@@ -265,6 +280,10 @@
             evidence = Evidence(sender.name, reply.version, sent_at_s)
             self.adoption.observe_voters([evidence])
 
+    def _lacks_members(self, reply: peer_pb2.PullReply) -> bool:
+        differs = reply.members_digest != self.roster.index().digest
+        return differs and self.is_new()
+
     def _demand_order(self) -> list[DemandKey]:
         """Return the keys that every daemon of a version knows."""
         document = self.adoption.configuration.document
