Draw live peers first, and a suspect besides

Change: a round draws two live peers and one suspect; suspects fill up what is missing of live ones. Tried and reverted: rounds that do not wait for silent peers.

--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -47,3 +47,13 @@
         for turn in range(_PEERS * 8):
             met |= self._drawn(turn * VIEW_TURN_S)
         self.assertEqual(len(met), _PEERS)
+
+    def test_suspects_take_no_place_of_live_ones(self) -> None:
+        for name in sorted(self._drawn(1))[:4]:
+            self.view.roster.hear(name, 1)
+        for _ in range(_ROUNDS):
+            drawn = self.view.draw(self.random, 2, 2)
+            alive = [
+                self.view.roster.is_alive(each.member, 2) for each in drawn
+            ]
+            self.assertEqual(alive, [True, True, False])
--- a/yuccavalve/daemon/peer_loop.py
+++ b/yuccavalve/daemon/peer_loop.py
@@ -58,30 +58,37 @@
         return [('', address) for address in addresses if address != own]
 
     async def _async_pull(self, name: str, address: str) -> None:
+        try:
+            await self._async_exchange(address)
+        except PeerUnreachableError as error:
+            self.node.peer_state.view.drop(name)
+            logging.info('peer=%s not reached: %s', address, error)
+        except Exception:
+            logging.exception('peer=%s pull failed', address)
+
+    async def _async_exchange(self, address: str) -> None:
+        """Pull a digest, and what it shows to be missing here."""
         node = self.node
+        state = node.peer_state
         sent_at_s = node.clock.now_s()
-        try:
-            reply = await node.peers.async_pull(
+        reply = await node.peers.async_pull(
+            address,
+            state.request(introduce=address in self._strangers),
+        )
+        wanted = state.read(reply, sent_at_s)
+        self._strangers.discard(address)
+        if wanted.introduction:
+            self._strangers.add(address)
+        if wanted.configuration:
+            await self._async_fetch_configuration(address)
+            state.read(reply, sent_at_s)
+        if wanted.replicas or wanted.members:
+            description = await node.peers.async_call(
                 address,
-                node.peer_state.request(introduce=address in self._strangers),
+                'Describe',
+                state.describe_request(),
             )
-            wanted = node.peer_state.read(reply, sent_at_s)
-            self._strangers.discard(address)
-            if wanted.introduction:
-                self._strangers.add(address)
-            if wanted.configuration:
-                await self._async_fetch_configuration(address)
-                node.peer_state.read(reply, sent_at_s)
-            if wanted.replicas or wanted.members:
-                description = await node.peers.async_call(
-                    address,
-                    'Describe',
-                    node.peer_state.describe_request(),
-                )
-                node.peer_state.read_description(description)
-        except PeerUnreachableError as error:
-            node.peer_state.view.drop(name)
-            logging.info('peer=%s not reached: %s', address, error)
+            state.read_description(description)
 
     async def _async_fetch_configuration(self, address: str) -> None:
         reply = await self.node.peers.async_call(
--- a/yuccavalve/membership/view.py
+++ b/yuccavalve/membership/view.py
@@ -28,7 +28,11 @@
     _turned_at_s: float = 0
 
     def draw(self, random: Random, now_s: float, count: int) -> list[Member]:
-        """Return distinct peers, at most ``count``; suspects are among them."""
+        """Return distinct peers: ``count`` that are alive, and a suspect.
+
+        Suspects fill up what is missing of live ones, so that daemons that
+        were cut off, or have just started, are found.
+        """
         others = {each.member: each for each in self.roster.members()[1:]}
         self._names = [name for name in self._names if name in others]
         if now_s - self._turned_at_s >= self.turn_s:
@@ -37,7 +41,13 @@
         fresh = sorted(others.keys() - set(self._names))
         missing = min(self.size - len(self._names), len(fresh))
         self._names.extend(random.sample(fresh, missing))
-        drawn = random.sample(self._names, min(count, len(self._names)))
+        live = [
+            name for name in self._names if self.roster.is_alive(name, now_s)
+        ]
+        drawn = random.sample(live, min(count, len(live)))
+        suspects = [name for name in self._names if name not in live]
+        wanted = max(1, count - len(drawn))
+        drawn += random.sample(suspects, min(wanted, len(suspects)))
         return [others[name] for name in drawn]
 
     def adopt(self, member: str) -> None:
