--- a/script/tools/link.py
+++ b/script/tools/link.py
@@ -60,8 +60,11 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         try:
-            name = self.source_at(writer.get_extra_info('peername')[1])
-        except LookupError:
+            name = await asyncio.to_thread(
+                self.source_at,
+                writer.get_extra_info('peername')[1],
+            )
+        except (LookupError, OSError):
             writer.close()
             return
         host, port = self.target.split(':')
--- a/script/tools/partition.py
+++ b/script/tools/partition.py
@@ -14,8 +14,8 @@
 __all__ = ('Partition',)
 
 _BOUND_HOST = '127.0.0.2'
-_LOCAL_FIELD = 1
 _INODE_FIELD = 9
+_NO_INODE = '0'
 
 
 class _PeerLink(Link):
@@ -25,13 +25,15 @@
         super().__init__('')
         self._partition = partition
         self._name = name
+        self.port = 0
 
     async def async_start(self) -> None:
         await super().async_start()
-        self.target = f'{_BOUND_HOST}:{self.address.rpartition(":")[2]}'
+        self.port = int(self.address.rpartition(':')[2])
+        self.target = f'{_BOUND_HOST}:{self.port}'
 
     def source_at(self, port: int) -> str:
-        return self._partition.owner(_inode_of(port))
+        return self._partition.owner(_inode_of(port, self.port))
 
     async def async_may_pass(self, source: str) -> None:
         await self._partition.async_may_pass(source, self._name)
@@ -99,13 +101,18 @@
         raise LookupError(f'no daemon holds socket {inode}')
 
 
-def _inode_of(port: int) -> str:
-    """Return the inode of the socket that is bound to a local port."""
-    suffix = f':{port:04X}'
-    for table in ('tcp', 'tcp6'):
+def _inode_of(port: int, link_port: int) -> str:
+    """Return the inode of the socket that is connected to a link's port.
+
+    A closed connection may have had the same local port; its row has no
+    inode, or another remote end.
+    """
+    ends = (f':{port:04X}', f':{link_port:04X}')
+    for table in ('tcp6', 'tcp'):
         rows = Path(f'/proc/self/net/{table}').read_text().splitlines()[1:]
         for fields in map(str.split, rows):
-            if fields[_LOCAL_FIELD].endswith(suffix):
+            matches = map(str.endswith, fields[1:3], ends)
+            if all(matches) and fields[_INODE_FIELD] != _NO_INODE:
                 return fields[_INODE_FIELD]
     raise LookupError(f'no socket at port {port}')
 
--- a/script/tools/plots.py
+++ b/script/tools/plots.py
@@ -92,7 +92,7 @@
     target.mkdir(exist_ok=True)
     for series in load_series(_DOCS / 'raw'):
         chart = _chart(series)
-        (target / f'{series.name}.svg').write_bytes(chart.render())
+        (target / f'{series.name}.svg').write_text(chart.render())
         line = series.fit()
         reached = round(series.at(series.until), 4)
         print(f'{series.name}: {line}, at {series.until:g}: {reached}')
