--- a/tests/sessions/test_configuration.py
+++ b/tests/sessions/test_configuration.py
@@ -126,11 +126,7 @@
     async def test_store_outage(self) -> None:
         names = await self.async_start(daemons=3)
         await self.async_until_voters(names)
-        await self.cluster.async_admin(
-            'platform',
-            '/admin/faults',
-            {'table_down': True},
-        )
+        await self.async_table(down=True)
         for _ in range(int(CONFIG_FRESH_S) + 3):
             answers = [await self.async_ask(name, 'out') for name in names]
             self.assertTrue(all(answer.whole for answer in answers))
--- a/tests/sessions/test_kills.py
+++ b/tests/sessions/test_kills.py
@@ -74,10 +74,10 @@
         )
         while not await self.async_runs():
             await asyncio.sleep(0.02)
-        await self._async_table(down=True)
+        await self.async_table(down=True)
         self.assertTrue((await task).whole)
         self.cluster.processes['e0'].kill()
-        await self._async_table(down=False)
+        await self.async_table(down=False)
         answer = await self.async_until_answer(
             functools.partial(self._async_again, _LONG_TOKENS),
             _UNKNOWN,
@@ -122,10 +122,3 @@
 
     async def _async_again(self, tokens: int) -> Answer:
         return await self.async_ask('e1', 'k', tokens, headers=once('k'))
-
-    async def _async_table(self, *, down: bool) -> None:
-        await self.cluster.async_admin(
-            'platform',
-            '/admin/faults',
-            {'table_down': down},
-        )
--- a/tests/sessions/test_replicas.py
+++ b/tests/sessions/test_replicas.py
@@ -8,23 +8,12 @@
 from yuccavalve.const import GRANT_LIFETIME_S
 from yuccavalve.ports import EngineOrder, OrderKind
 
-_REFORM_S = 45
 _LEAVING_BOUND_S = 5
 
 
 class ReplicaSession(SessionTest):
     """Hosts that die, freeze, come back, leave, or take rogue orders."""
 
-    async def _async_reformed(self, name: str, earlier: int) -> Any:
-        """Wait for a granted replica of a later incarnation."""
-        return await self.cluster.async_until(
-            name,
-            lambda status: any(
-                replica['incarnation'] > earlier for replica in granted(status)
-            ),
-            _REFORM_S,
-        )
-
     async def _async_replica(self, name: str) -> Any:
         return granted(await self.cluster.async_status(name))[0]
 
@@ -44,7 +33,7 @@
                 lost['replica'],
                 [replica['replica'] for replica in granted(status)],
             )
-        status = await self._async_reformed('e1', lost['incarnation'])
+        status = await self.async_until_reformed('e1', lost['incarnation'])
         self.assertNotIn(lost['hosts'][1], granted(status)[0]['hosts'])
         self.assertTrue((await self.async_ask('e1', 'after')).whole)
 
@@ -60,7 +49,7 @@
             '--listen',
             address,
         )
-        status = await self._async_reformed('e0', lost['incarnation'])
+        status = await self.async_until_reformed('e0', lost['incarnation'])
         self.assertEqual(
             sorted(granted(status)[0]['hosts']),
             sorted(lost['hosts']),
@@ -72,7 +61,7 @@
         lost = await self._async_replica('e0')
         frozen = self.cluster.processes[lost['hosts'][1]]
         frozen.pause()
-        status = await self._async_reformed('e0', lost['incarnation'])
+        status = await self.async_until_reformed('e0', lost['incarnation'])
         self.assertNotIn(lost['hosts'][1], granted(status)[0]['hosts'])
         frozen.resume()
         await asyncio.sleep(1)
@@ -86,7 +75,7 @@
             '/admin/faults',
             {'dead': True},
         )
-        status = await self._async_reformed('e0', lost['incarnation'])
+        status = await self.async_until_reformed('e0', lost['incarnation'])
         self.assertEqual(
             sorted(granted(status)[0]['hosts']),
             sorted(lost['hosts']),
@@ -112,7 +101,7 @@
                 [replica['replica'] for replica in granted(status)],
             )
         self.assertTrue((await stream).whole)
-        await self._async_reformed('e0', leaving['incarnation'])
+        await self.async_until_reformed('e0', leaving['incarnation'])
 
     async def test_planner_killed(self) -> None:
         names = await self.async_start(daemons=3, hosts=3, span=2)
@@ -123,7 +112,7 @@
         self.cluster.processes[holder].kill()
         self.cluster.processes[lost['hosts'][0]].kill()
         other = next(name for name in names if name != holder)
-        status = await self._async_reformed(other, lost['incarnation'])
+        status = await self.async_until_reformed(other, lost['incarnation'])
         self.assertNotIn(lost['hosts'][0], granted(status)[0]['hosts'])
 
     async def test_rogue_order_to_an_engine_that_ignores_fences(self) -> None:
@@ -135,7 +124,7 @@
             '/v1/orders',
             {'kind': order.kind.value, 'fence': order.fence},
         )
-        status = await self._async_reformed('e0', before['incarnation'])
+        status = await self.async_until_reformed('e0', before['incarnation'])
         self.assertEqual(granted(status)[0]['hosts'], ['h0'])
         self.assertTrue((await self.async_ask('e0', 'after')).whole)
 
--- a/tests/sessions/test_requests.py
+++ b/tests/sessions/test_requests.py
@@ -148,21 +148,13 @@
     async def test_store_down_refuses_only_these(self) -> None:
         names = await self.async_start(daemons=3)
         await self.async_until_voters(names)
-        await self.cluster.async_admin(
-            'platform',
-            '/admin/faults',
-            {'table_down': True},
-        )
+        await self.async_table(down=True)
         answer = await self.async_ask('e0', 'once', 8, headers=once('k'))
         self.assertEqual(answer.code, 2005)
         self.assertEqual(answer.body['error']['ran'], 'not_by_this_attempt')
         self.assertIn('retry-after', answer.headers)
         self.assertTrue((await self.async_ask('e0', 'other', 8)).whole)
-        await self.cluster.async_admin(
-            'platform',
-            '/admin/faults',
-            {'table_down': False},
-        )
+        await self.async_table(down=False)
         answer = await self.async_ask('e0', 'once', 8, headers=once('k'))
         self.assertTrue(answer.whole)
 
--- a/tests/sessions/test_together.py
+++ b/tests/sessions/test_together.py
@@ -13,6 +13,7 @@
 
 _LEAVING = 2003
 _RESTART_S = 20
+_REFORM_S = 30
 _CALLERS = 6
 _SEED = 11
 
@@ -37,12 +38,10 @@
         for host in lost['hosts']:
             self.cluster.processes[host].kill()
         for name in ('e0', 'e1'):
-            status = await self.cluster.async_until(
+            status = await self.async_until_reformed(
                 name,
-                lambda status: any(
-                    replica['incarnation'] > lost['incarnation']
-                    for replica in granted(status)
-                ),
+                lost['incarnation'],
+                _REFORM_S,
             )
             hosts = granted(status)[0]['hosts']
             self.assertFalse(set(hosts).intersection(lost['hosts']))
@@ -69,12 +68,10 @@
         )
         self.assertEqual(reply.status, 200, reply.body)
         for name in left:
-            status = await self.cluster.async_until(
+            status = await self.async_until_reformed(
                 name,
-                lambda status: any(
-                    replica['incarnation'] > lost['incarnation']
-                    for replica in granted(status)
-                ),
+                lost['incarnation'],
+                _REFORM_S,
             )
             self.assertEqual(status['version'], reply.body['version'])
             self.assertTrue((await self.async_ask(name, 'after')).whole)
@@ -98,19 +95,14 @@
         names = await self.async_start(daemons=3, hosts=3, span=2)
         await self.async_until_voters(names)
         lost = granted(await self.cluster.async_status('e0'))[0]
-        faults = '/admin/faults'
-        await self.cluster.async_admin('platform', faults, {'table_down': True})
+        await self.async_table(down=True)
         self.cluster.processes[lost['hosts'][1]].kill()
         await asyncio.sleep(GRANT_LIFETIME_S + 1)
         for name in names:
             answer = await self.async_ask(name, 'none')
             self.assertEqual(answer.body['error']['ran'], 'no', answer)
             self.assertIn('retry-after', answer.headers)
-        await self.cluster.async_admin(
-            'platform',
-            faults,
-            {'table_down': False},
-        )
+        await self.async_table(down=False)
         for name in names:
             await self.async_until_serving(name, 1)
             self.assertTrue((await self.async_ask(name, 'after')).whole)
--- a/tests/support/session.py
+++ b/tests/support/session.py
@@ -14,6 +14,7 @@
 KEY = 'north-key'
 MODEL = 'pool'
 _FORM_S = 40
+_REFORM_S = 45
 
 
 def once(key: str) -> dict[str, str]:
@@ -94,6 +95,29 @@
             _FORM_S,
         )
 
+    async def async_until_reformed(
+        self,
+        name: str,
+        earlier: int,
+        timeout_s: float = _REFORM_S,
+    ) -> Any:
+        """Wait for a granted replica of a later incarnation."""
+        return await self.cluster.async_until(
+            name,
+            lambda status: any(
+                replica['incarnation'] > earlier for replica in granted(status)
+            ),
+            timeout_s,
+        )
+
+    async def async_table(self, *, down: bool) -> None:
+        """Take the table service away, or bring it back."""
+        await self.cluster.async_admin(
+            'platform',
+            '/admin/faults',
+            {'table_down': down},
+        )
+
     async def async_until_voters(self, names: list[str]) -> None:
         """Wait until all daemons vote and the electorate is settled."""
         for name in names:
--- a/yuccavalve/adapters/http.py
+++ b/yuccavalve/adapters/http.py
@@ -123,10 +123,12 @@
             timeouts=Timeouts(limit_s, limit_s, limit_s, limit_s),
         )
         connection = response._connection  # noqa: SLF001, WPS437
-        text = await response.content()
-        # A server that is asked to close may do so before it has read the
-        # body, and the reset then destroys its answer.
-        connection.close()
+        try:
+            text = await response.content()
+        finally:
+            # A server that is asked to close may do so before it has read
+            # the body, and the reset then destroys its answer.
+            connection.close()
         self.control_bytes += len(encoded) + len(text) + _HEAD_BYTES
         retry_after = response.headers.get('retry-after')
         return Reply(
--- a/yuccavalve/daemon/store_loop.py
+++ b/yuccavalve/daemon/store_loop.py
@@ -17,7 +17,7 @@
 from yuccavalve.daemon.node import Node
 from yuccavalve.exceptions import StoreUnavailableError
 from yuccavalve.membership.const import MEMBERS_MARK_KEY
-from yuccavalve.ports import Row
+from yuccavalve.ports import row_version
 from yuccavalve.timing import jittered
 
 __all__ = ('StoreLoop',)
@@ -69,7 +69,7 @@
         await self._async_confirm(head_in(rows).version, sent_at_s)
         self._polled_at_s = sent_at_s
         must_list = self._must_list(sent_at_s)
-        mark = _version(rows.get(MEMBERS_MARK_KEY))
+        mark = row_version(rows.get(MEMBERS_MARK_KEY))
         if must_list or mark != self._mark:
             await self._async_list_members()
             self._mark = mark
@@ -125,7 +125,3 @@
         node = self.node
         stored = await node.replica_store.async_list()
         node.replicas.reconcile(stored, node.clock.now_s())
-
-
-def _version(row: Row | None) -> int | None:
-    return None if row is None else row.version
--- a/yuccavalve/membership/duties.py
+++ b/yuccavalve/membership/duties.py
@@ -18,7 +18,7 @@
     LEASE_KEY,
     TERM_KEY,
 )
-from yuccavalve.ports import Condition, Row, Transaction, Write
+from yuccavalve.ports import Condition, Row, Transaction, Write, row_version
 
 __all__ = ('Lease', 'LeaseStep')
 
@@ -65,7 +65,7 @@
     def observe(self, rows: dict[str, Row], now_s: float) -> None:
         """Note the rows of the lease and its term."""
         row = rows.get(self.key)
-        if _version(row) != _version(self._row) or self._seen_at_s < 0:
+        if row_version(row) != row_version(self._row) or self._seen_at_s < 0:
             self._seen_at_s = now_s
         self._row = row
         term_row = rows.get(self.term_key)
@@ -101,7 +101,7 @@
         if step is LeaseStep.ACQUIRE:
             writes.append(Write(self.term_key, fields))
         return Transaction(
-            (Condition(self.key, _version(self._row)),),
+            (Condition(self.key, row_version(self._row)),),
             tuple(writes),
         )
 
@@ -119,7 +119,7 @@
             return None
         self.held_until_s = _NEVER_S
         return Transaction(
-            (Condition(self.key, _version(self._row)),),
+            (Condition(self.key, row_version(self._row)),),
             (Write(self.key, None),),
         )
 
@@ -127,7 +127,3 @@
         return (
             self._row is not None and self._row.fields['holder'] == self.member
         )
-
-
-def _version(row: Row | None) -> int | None:
-    return None if row is None else row.version
--- a/yuccavalve/ports/__init__.py
+++ b/yuccavalve/ports/__init__.py
@@ -19,6 +19,7 @@
     TableStore,
     Transaction,
     Write,
+    row_version,
 )
 
 __all__ = (
@@ -36,4 +37,5 @@
     'TableStore',
     'Transaction',
     'Write',
+    'row_version',
 )
--- a/yuccavalve/ports/table.py
+++ b/yuccavalve/ports/table.py
@@ -5,7 +5,14 @@
 
 import attrs
 
-__all__ = ('Condition', 'Row', 'TableStore', 'Transaction', 'Write')
+__all__ = (
+    'Condition',
+    'Row',
+    'TableStore',
+    'Transaction',
+    'Write',
+    'row_version',
+)
 
 
 @attrs.frozen
@@ -55,3 +62,8 @@
 
     async def async_transact(self, transaction: Transaction) -> None:
         """Apply a transaction or raise ``TransactionConflictError``."""
+
+
+def row_version(row: Row | None) -> int | None:
+    """Return a row's version as a condition expects it."""
+    return None if row is None else row.version
--- a/yuccavalve/requests/admit.py
+++ b/yuccavalve/requests/admit.py
@@ -28,11 +28,15 @@
 
     queue: FairQueue
     running: Counter[str] = attrs.field(factory=Counter)
-    in_flight: int = 0
     tokens_per_s: float = 0
     service_s: Counter[str] = attrs.field(factory=Counter)
     waiters: dict[Ticket, asyncio.Future[None]] = attrs.field(factory=dict)
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests run."""
+        return self.running.total()
+
     def demands(self) -> Counter[str]:
         """Return requests in flight and queued of each workspace."""
         return self.running + Counter(self.queue.waiting())
@@ -116,7 +120,6 @@
     ) -> None:
         """End a turn and let the next ones in."""
         pool = self._pool(group)
-        pool.in_flight -= 1
         pool.running[ticket.workspace] -= 1
         self._tokens_by_workspace[ticket.workspace] -= ticket.cost_tokens
         pool.queue.correct(ticket, used_tokens)
@@ -145,7 +148,6 @@
                 waiter.set_exception(refusal)
 
     def _begin(self, pool: _Pool, ticket: Ticket) -> None:
-        pool.in_flight += 1
         pool.running[ticket.workspace] += 1
         self._tokens_by_workspace[ticket.workspace] += ticket.cost_tokens
 
