--- a/script/tools/gateway_demo.py
+++ b/script/tools/gateway_demo.py
@@ -76,19 +76,12 @@
         text = builders.settings_text(
             {
                 'node': name,
-                'region': 'region-1',
-                'zone': 'zone-a',
                 'listen.front': address,
                 'listen.ready': free_address(),
                 'listen.directory': free_address(),
-                'ip': '127.0.0.1',
                 'internal_ports.0': free_address().rpartition(':')[2],
                 'platform.address': self.fleet.store_address,
-                'bounds.drain_ms': '2000',
                 'bounds.grace_s': '4',
-                'bounds.retry_budget_ratio': '0.2',
-                'bounds.retry_budget_extra': '100',
-                'bounds.budget_window_s': '10',
             },
         ).replace('127.0.0.1:9100', free_address())
         path = self.folder / f'{name}.toml'
--- a/tests/peers/test_sharing.py
+++ b/tests/peers/test_sharing.py
@@ -1,155 +1,212 @@
 """News among gateway daemons."""
 
 import unittest
-from random import Random
+
+import attrs
 
 from tests.support import builders
+from tests.support.book_model import BookModel, Daemon, book
 from yuccavalve.clock import LogicalClock
-from yuccavalve.fleet.activity import Activity, Run
+from yuccavalve.fleet.activity import Run
 from yuccavalve.fleet.const import (
-    DAEMON_SUSPECT_PER_MEMBER_S,
-    DAEMON_SUSPECT_S,
     SHARE_PERIOD_S,
     SHARE_TRUST_S,
     STALL_FIRST_S,
 )
-from yuccavalve.membership import Roster
-from yuccavalve.peers import ShareBook
-from yuccavalve.peers.const import SHARE_ENTRIES, SHARE_FANOUT
-from yuccavalve.routing import RoutingState
+from yuccavalve.peers.generated import peer_pb2
 
 _KEY = 'i-1/0/1'
-
-
-def _book(name: str, clock: LogicalClock) -> ShareBook:
-    return ShareBook(
-        Roster(builders.member(name)),
-        Activity(),
-        RoutingState(),
-        clock,
-        Random(1),
-    )
+_MANY = 88
 
 
 class ManyDaemonsTest(unittest.TestCase):
-    """Eighty-eight daemons that tell three others each turn."""
-
-    def test_news_is_fresh_and_the_dead_are_dropped_soon(self) -> None:
-        clock = LogicalClock(100)
-        random = Random(3)
-        books = [
-            ShareBook(
-                Roster(
-                    builders.member(f'd{number}'),
-                    DAEMON_SUSPECT_S,
-                    DAEMON_SUSPECT_PER_MEMBER_S,
-                ),
-                Activity(),
-                RoutingState(),
-                clock,
-                random,
+    """Eighty-eight daemons of three zones that follow hubs."""
+
+    def setUp(self) -> None:
+        """Let them hear of each other."""
+        self.model = BookModel.of(_MANY)
+        self.model.run(3)
+
+    def _named_by_nobody(self, dead: Daemon) -> bool:
+        now_s = self.model.clock.now_s()
+        return all(
+            dead.member not in each.book.roster.entries(now_s)
+            for each in self.model.alive()
+        )
+
+    def _least_known(self) -> int:
+        now_s = self.model.clock.now_s()
+        return min(
+            len(each.book.roster.entries(now_s)) for each in self.model.alive()
+        )
+
+    def test_all_are_known_and_the_dead_are_dropped_soon(self) -> None:
+        self.assertEqual(self._least_known(), _MANY)
+        dead = self.model.daemons[-1]
+        dead.dead = True
+        self.model.run(3)
+        self.assertTrue(self._named_by_nobody(dead))
+        self.assertEqual(self._least_known(), _MANY - 1)
+
+    def test_dead_hub_is_replaced_and_nobody_else_is_dropped(self) -> None:
+        follower = self.model.daemons[-1]
+        hub = self.model.hub_of(follower)
+        hub.dead = True
+        for _ in range(12):
+            self.model.run(SHARE_PERIOD_S)
+            self.assertGreaterEqual(self._least_known(), _MANY - 1)
+        self.assertTrue(self._named_by_nobody(hub))
+        self.assertIsNot(self.model.hub_of(follower), hub)
+
+    def test_loads_reach_every_zone_and_are_counted_once(self) -> None:
+        for daemon in self.model.daemons:
+            daemon.book.activity.begin(Run(_KEY, 0, streams=True))
+        self.model.run(1)
+        for daemon in self.model.daemons:
+            self.assertEqual(daemon.book.activity.load(_KEY), _MANY)
+
+    def test_loads_are_counted_once_after_a_hub_died(self) -> None:
+        for daemon in self.model.daemons:
+            daemon.book.activity.begin(Run(_KEY, 0, streams=True))
+        self.model.run(1)
+        self.model.hub_of(self.model.daemons[-1]).dead = True
+        self.model.run(SHARE_TRUST_S + 1)
+        for daemon in self.model.alive():
+            self.assertEqual(daemon.book.activity.load(_KEY), _MANY - 1)
+
+    def test_only_hubs_talk_between_zones(self) -> None:
+        for daemon in self.model.daemons:
+            for number in range(4):
+                run = Run(f'i-{number}/0/1', 0, streams=True)
+                daemon.book.activity.begin(run)
+        self.model.run(6)
+        self.model.cross_zone_bytes = 0
+        self.model.run(10)
+        # 88 daemons and control traffic of 2 KB/s each would be 176 KB/s.
+        self.assertLess(self.model.cross_zone_bytes / 10, 20000)
+        self.assertLess(self.model.largest_bytes, 16384)
+
+    def test_planner_and_routes_are_known_everywhere(self) -> None:
+        planner = self.model.daemons[-1]
+        planner.book.plans = True
+        planner.book.started = True
+        self.model.run(1)
+        for daemon in self.model.daemons[:-1]:
+            self.assertEqual(
+                daemon.book.planner(),
+                planner.member.member,
             )
-            for number in range(88)
-        ]
-        dead = books.pop()
-        dead_at_s = self._run(books, clock, random, dead)
-        self._spread(books, clock, random, 3.9)
-        named = [
-            book
-            for book in books
-            if dead.roster.own in book.roster.entries(clock.now_s())
-        ]
-        self.assertEqual(named, [])
-        self.assertLess(clock.now_s() - dead_at_s, 4.1)
-        known = min(len(book.roster.entries(clock.now_s())) for book in books)
-        self.assertGreater(known, 80)
-
-    def _run(
-        self,
-        books: list[ShareBook],
-        clock: LogicalClock,
-        random: Random,
-        dead: ShareBook,
-    ) -> float:
-        self._spread([*books, dead], clock, random, 6)
-        return clock.now_s()
-
-    def _spread(
+            self.assertTrue(daemon.book.started)
+
+    def test_daemon_that_starts_again_replaces_its_earlier_process(
         self,
-        books: list[ShareBook],
-        clock: LogicalClock,
-        random: Random,
-        seconds: float,
     ) -> None:
-        until_s = clock.now_s() + seconds
-        while clock.now_s() < until_s:
-            clock.advance(SHARE_PERIOD_S * books[0].factor())
-            for book in books:
-                message = book.message()
-                for other in random.sample(books, SHARE_FANOUT):
-                    other.read(message, clock.now_s())
-                    book.read(other.message(), clock.now_s())
+        earlier = self.model.daemons.pop()
+        again = self.model.add(
+            attrs.evolve(earlier.member, member='d87-again'),
+        )
+        self.model.run(1)
+        for daemon in self.model.daemons:
+            members = daemon.book.roster.members()
+            self.assertIn(again.member, members)
+            self.assertNotIn(earlier.member, members)
 
 
 class SharingTest(unittest.TestCase):
-    """Three daemons, of which one hears of another through the third."""
+    """A hub, one that follows it, and the hub of another zone."""
 
     def setUp(self) -> None:
         """Make the daemons."""
         self.clock = LogicalClock(100)
-        self.books = [_book(name, self.clock) for name in ('a', 'b', 'c')]
-
-    def _tell(self, teller: int, hearer: int) -> None:
-        message = self.books[teller].message()
-        self.books[hearer].read(message, self.clock.now_s())
-
-    def test_loads_travel_through_others(self) -> None:
-        self.books[0].activity.begin(Run(_KEY, 0, streams=True))
-        self._tell(0, 1)
-        self._tell(1, 2)
-        self.assertEqual(self.books[2].activity.others, {_KEY: 1})
+        self.hub, self.follower, self.far = (
+            book(builders.member(name), self.clock)
+            for name in ('hub', 'follower', 'far')
+        )
+
+    def _follow(self) -> peer_pb2.ShareMessage:
+        request = self.follower.message(follows=True)
+        self.hub.read(request, self.clock.now_s())
+        reply = self.hub.reply(request)
+        self.follower.read(reply, self.clock.now_s())
+        return reply
+
+    def _exchange(self) -> None:
+        request = self.hub.message()
+        self.far.read(request, self.clock.now_s())
+        self.hub.read(self.far.reply(request), self.clock.now_s())
+
+    def test_loads_travel_through_hubs(self) -> None:
+        self.follower.activity.begin(Run(_KEY, 0, streams=True))
+        self._follow()
+        self._exchange()
+        self.assertEqual(self.far.activity.others, {_KEY: 1})
+        self.assertEqual(self.follower.activity.others, {})
         self.clock.advance(SHARE_TRUST_S + 0.1)
-        self.books[2].expire()
-        self.assertEqual(self.books[2].activity.others, {})
+        self.far.expire()
+        self.assertEqual(self.far.activity.others, {})
 
     def test_old_news_does_not_replace_newer(self) -> None:
-        old = self.books[0].message()
-        self.books[0].activity.begin(Run(_KEY, 0, streams=True))
-        self._tell(0, 1)
-        self.books[1].read(old, self.clock.now_s())
-        self.assertEqual(self.books[1].activity.others, {_KEY: 1})
+        old = self.follower.message(follows=True)
+        self.follower.activity.begin(Run(_KEY, 0, streams=True))
+        self._follow()
+        self.hub.read(old, self.clock.now_s())
+        self.hub.expire()
+        self.assertEqual(self.hub.activity.others, {_KEY: 1})
+
+    def test_new_strikes_are_urgent_once(self) -> None:
+        self.follower.activity.begin(Run(_KEY, 0, streams=True))
+        self._follow()
+        list(self.follower.activity.find_stalled(STALL_FIRST_S + 100))
+        request = self.follower.message(follows=True)
+        self.assertTrue(self.hub.read(request, self.clock.now_s()))
+        again = self.follower.message(follows=True)
+        self.assertFalse(self.hub.read(again, self.clock.now_s()))
+        self.assertTrue(self.far.read(self.hub.message(), 100))
+
+    def test_own_strikes_do_not_come_back(self) -> None:
+        self.follower.activity.begin(Run(_KEY, 0, streams=True))
+        list(self.follower.activity.find_stalled(STALL_FIRST_S + 100))
+        self._follow()
+        self._follow()
+        self.assertEqual(self.follower.activity.others_strikes, {})
+        self.assertEqual(self.hub.activity.others_strikes, {_KEY: 1})
 
     def test_streams_that_go_on_elsewhere_outweigh_strikes(self) -> None:
-        stalled = self.books[0].activity
+        stalled = self.follower.activity
         stalled.begin(Run(_KEY, 0, streams=True))
         list(stalled.find_stalled(STALL_FIRST_S + 100))
         stalled.note_unreached(_KEY, 100)
-        self._tell(0, 2)
-        self.assertEqual(self.books[2].strikes(), {_KEY: 2})
-        self.books[1].activity.begin(Run(_KEY, 0, streams=True))
-        self._tell(1, 2)
-        self.assertEqual(self.books[2].strikes(), {_KEY: 1})
+        self._follow()
+        self._exchange()
+        self.assertEqual(self.far.strikes(), {_KEY: 2})
+        self.hub.activity.begin(Run(_KEY, 0, streams=True))
+        self.clock.advance(0.1)
+        self._exchange()
+        self.assertEqual(self.far.strikes(), {_KEY: 1})
+        self._follow()
+        self.assertEqual(self.follower.strikes(), {_KEY: 1})
 
     def test_holder_that_yields_or_is_replaced_is_out(self) -> None:
-        self.books[0].yielded_lease = 7
-        self._tell(0, 1)
-        name = self.books[0].roster.own.member
-        self.assertTrue(self.books[1].has_yielded(name, 7))
-        self.assertFalse(self.books[1].has_yielded(name, 8))
-        self.assertTrue(self.books[1].has_yielded('a-earlier', 8))
-
-    def test_messages_are_bounded(self) -> None:
-        for number in range(4 * SHARE_ENTRIES):
-            message = _book(f'd{number}', self.clock).message()
-            self.books[0].read(message, self.clock.now_s())
-        entries = self.books[0].message().entries
-        self.assertLessEqual(len(entries), SHARE_ENTRIES + 1)
+        self.follower.yielded_lease = 7
+        self._follow()
+        self._exchange()
+        name = self.follower.roster.own.member
+        for known_to in (self.hub, self.far):
+            self.assertTrue(known_to.has_yielded(name, 7))
+            self.assertFalse(known_to.has_yielded(name, 8))
+            self.assertTrue(known_to.has_yielded('follower-earlier', 8))
 
     def test_daemons_that_cannot_serve_yet_are_known(self) -> None:
-        self._tell(0, 1)
-        self.books[1].informed = True
-        own = self.books[0].roster.own.member
-        self.assertEqual(self.books[1].uninformed(), {own})
-        self.books[0].informed = True
-        self._tell(0, 1)
-        self.assertEqual(self.books[1].uninformed(), set())
+        self.hub.informed = True
+        self.far.informed = True
+        self._follow()
+        self._exchange()
+        own = self.follower.roster.own.member
+        for known_to in (self.hub, self.far):
+            self.assertEqual(known_to.uninformed(), {own})
+        self.follower.informed = True
+        self.clock.advance(0.1)
+        self._follow()
+        self._exchange()
+        for known_to in (self.hub, self.far):
+            self.assertEqual(known_to.uninformed(), set())
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -1,6 +1,7 @@
 """Builders of the platform's documents."""
 
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 from tests.platform.standin import EngineOptions
@@ -24,6 +25,20 @@
 
 KEY = 'key-of-north'
 MODEL = 'm-large'
+_USUAL_FIELDS = MappingProxyType(
+    {
+        'region': 'region-1',
+        'zone': 'zone-a',
+        'ip': '127.0.0.1',
+        'limits.cpu_share': '0.5',
+        'limits.cpu_cores': '2',
+        'bounds.drain_ms': '2000',
+        'bounds.grace_s': '8',
+        'bounds.retry_budget_ratio': '0.2',
+        'bounds.retry_budget_extra': '100',
+        'bounds.budget_window_s': '10',
+    },
+)
 _TEMPLATE = Path(__file__).parents[2] / 'deploy' / 'settings.toml'
 
 
@@ -135,8 +150,14 @@
 
 
 def settings_text(fields: dict[str, str]) -> str:
-    """Return the template of the deployment with its places filled in."""
+    """Return the template of the deployment with its places filled in.
+
+    Parameters
+    ----------
+    fields
+        What differs from a usual daemon of one zone on this machine.
+    """
     text = _TEMPLATE.read_text()
-    for name, word in fields.items():
+    for name, word in {**_USUAL_FIELDS, **fields}.items():
         text = text.replace('{{%s}}' % name, word)
     return text
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -87,19 +87,12 @@
         text = builders.settings_text(
             {
                 'node': 'front-1',
-                'region': 'r',
-                'zone': 'z',
                 'listen.front': '127.0.0.1:1001',
                 'listen.ready': '127.0.0.1:1002',
                 'listen.directory': '127.0.0.1:1003',
-                'ip': '127.0.0.1',
                 'internal_ports.0': '1004',
                 'platform.address': '127.0.0.1:1006',
-                'bounds.drain_ms': '2000',
-                'bounds.grace_s': '8',
-                'bounds.retry_budget_ratio': '0.2',
                 'bounds.retry_budget_extra': '132',
-                'bounds.budget_window_s': '10',
             },
         )
         self.assertFalse(re.findall(r'\{\{.*?\}\}', text))
@@ -109,3 +102,5 @@
             settings = load_gateway_settings(path)
         self.assertEqual(settings.listen.peer_address, '127.0.0.1:1004')
         self.assertEqual(settings.bounds.retry_extra, 132)
+        self.assertEqual(settings.daemon.processor_share, 0.5)
+        self.assertEqual(settings.daemon.processor_speed, 2)
--- a/tests/platform/test_together.py
+++ b/tests/platform/test_together.py
@@ -1,10 +1,11 @@
 """Two daemons: what one tells the other, and what one takes over."""
 
+import asyncio
 import unittest
 
 from script.tools.link import Link
 from tests.platform import builders
-from tests.platform.standin import FleetStandin
+from tests.platform.standin import EngineOptions, FleetStandin
 from tests.platform.support import (
     Caller,
     DaemonRun,
@@ -84,6 +85,49 @@
             3,
         )
 
+    def _follower(self) -> int:
+        follows = [each.node.book.follows for each in self.daemons]
+        return follows.index(True) if any(follows) else -1
+
+    async def test_one_daemon_reads_the_store_for_both(self) -> None:
+        await async_until(lambda: self._planner() >= 0, 'one daemon plans')
+        await async_until(lambda: self._follower() >= 0, 'one follows')
+        follower = self.daemons[self._follower()].node
+        self.assertFalse(follower.serves_as_hub())
+        counts = follower.ports.call_counts
+        before = sum(counts.values())
+        await asyncio.sleep(2)
+        self.assertLessEqual(sum(counts.values()) - before, 2)
+        self.assertFalse(follower.is_view_stale())
+
+    async def test_engines_come_from_the_other_daemon(self) -> None:
+        await async_until(lambda: self._follower() >= 0, 'one follows')
+        cut = self._follower()
+        self.links[cut].silence()
+        await self.fleet.async_add(
+            EngineOptions('p-new', 'portal'),
+        )
+        view = self.daemons[cut].node.view
+        await async_until(
+            lambda: view.engine('p-new') is not None,
+            'the new engine is known without the store',
+            3,
+        )
+
+    async def test_hub_without_the_store_is_told_by_others(self) -> None:
+        await async_until(lambda: self._follower() >= 0, 'one follows')
+        hub = 1 - self._follower()
+        self.links[hub].silence()
+        await self.fleet.async_add(
+            EngineOptions('p-new', 'portal'),
+        )
+        view = self.daemons[hub].node.view
+        await async_until(
+            lambda: view.engine('p-new') is not None,
+            'the new engine is known to the hub',
+            5,
+        )
+
     async def test_planner_that_is_killed_is_replaced(self) -> None:
         await async_until(lambda: self._planner() >= 0, 'one daemon plans')
         killed = self._planner()
--- /dev/null
+++ b/tests/support/book_model.py
@@ -0,0 +1,142 @@
+"""Gateway daemons that exchange news without a network."""
+
+from random import Random
+
+import attrs
+
+from tests.support import builders
+from yuccavalve.clock import LogicalClock
+from yuccavalve.fleet.activity import Activity
+from yuccavalve.fleet.const import (
+    DAEMON_SUSPECT_PER_MEMBER_S,
+    DAEMON_SUSPECT_S,
+    SHARE_PERIOD_S,
+)
+from yuccavalve.membership import HubRanking, Member, Roster
+from yuccavalve.peers import ShareBook
+from yuccavalve.routing import RoutingState
+
+__all__ = ('BookModel', 'Daemon', 'book')
+
+_ZONES = ('a', 'b', 'c')
+
+
+def book(own: Member, clock: LogicalClock) -> ShareBook:
+    """Return the news of a daemon."""
+    return ShareBook(
+        Roster(own, DAEMON_SUSPECT_S, DAEMON_SUSPECT_PER_MEMBER_S),
+        Activity(),
+        RoutingState(),
+        clock,
+        Random(1),
+    )
+
+
+@attrs.define(eq=False)
+class Daemon:
+    """One daemon; a dead one answers nobody."""
+
+    book: ShareBook
+    hubs: HubRanking
+    dead: bool = False
+
+    @property
+    def member(self) -> Member:
+        return self.book.roster.own
+
+
+@attrs.define
+class BookModel:
+    """Daemons of three zones that exchange news as ``ShareLoop`` does.
+
+    Attributes
+    ----------
+    cross_zone_bytes
+        Bytes of messages from one zone to another.
+    largest_bytes
+        Bytes of the largest message.
+    """
+
+    clock: LogicalClock
+    random: Random
+    daemons: list[Daemon] = attrs.field(factory=list)
+    cross_zone_bytes: int = 0
+    largest_bytes: int = 0
+    _rounds: int = 0
+
+    @classmethod
+    def of(cls, count: int, seed: int = 3) -> 'BookModel':
+        """Return daemons that know each other's records."""
+        model = cls(LogicalClock(100), Random(seed))
+        members = [
+            attrs.evolve(
+                builders.member(f'd{number}'),
+                availability_zone=_ZONES[number % len(_ZONES)],
+                processor_millicores=2000 if number < 6 else 500,
+            )
+            for number in range(count)
+        ]
+        for member in members:
+            model.add(member).book.roster.learn_all(
+                each for each in members if each != member
+            )
+        return model
+
+    def add(self, member: Member) -> Daemon:
+        """Add a daemon that knows those that are there."""
+        daemon_book = book(member, self.clock)
+        daemon_book.informed = True
+        daemon_book.roster.learn_all(each.member for each in self.daemons)
+        daemon = Daemon(daemon_book, HubRanking(daemon_book.roster))
+        self.daemons.append(daemon)
+        return daemon
+
+    def run(self, seconds: float) -> None:
+        """Let daemons exchange for a while."""
+        until_s = self.clock.now_s() + seconds
+        while self.clock.now_s() < until_s:
+            self.clock.advance(SHARE_PERIOD_S)
+            self._rounds += 1
+            for daemon in self.random.sample(self.daemons, len(self.daemons)):
+                if not daemon.dead:
+                    self._round(daemon)
+
+    def alive(self) -> list[Daemon]:
+        """Return the daemons that run."""
+        return [each for each in self.daemons if not each.dead]
+
+    def hub_of(self, daemon: Daemon) -> Daemon:
+        """Return the hub that a daemon would follow."""
+        return self._daemon(daemon.hubs.own_hub())
+
+    def _round(self, daemon: Daemon) -> None:
+        hub = daemon.hubs.own_hub()
+        daemon.book.follows = hub != daemon.member
+        if daemon.book.follows:
+            self._exchange(daemon, hub, follows=True)
+        if hub == daemon.member or daemon.book.has_followers():
+            for other in daemon.hubs.other_hubs():
+                self._exchange(daemon, other, follows=False)
+        daemon.book.expire()
+
+    def _exchange(self, caller: Daemon, to: Member, *, follows: bool) -> None:
+        called = self._daemon(to)
+        now_s = self.clock.now_s()
+        if called.dead:
+            caller.hubs.note_failure(to.member, now_s)
+            return
+        caller.hubs.note_answer(to.member)
+        request = caller.book.message(to.member, follows=follows)
+        called.book.read(request, now_s)
+        reply = called.book.reply(request)
+        caller.book.read(reply, now_s)
+        sizes = (request.ByteSize(), reply.ByteSize())
+        self.largest_bytes = max(self.largest_bytes, *sizes)
+        if to.availability_zone != caller.member.availability_zone:
+            self.cross_zone_bytes += sum(sizes)
+
+    def _daemon(self, member: Member) -> Daemon:
+        for daemon in self.daemons:
+            if daemon.member == member:
+                return daemon
+        raise AssertionError(f'no daemon {member.member}')
--- a/tests/support/builders.py
+++ b/tests/support/builders.py
@@ -67,10 +67,10 @@
     )
 
 
-def member(name: str, region: str = 'r1') -> Member:
+def member(name: str, region: str = 'r1', boot: str = 'boot') -> Member:
     """Return a member with a made-up address."""
     return Member(
-        f'{name}-boot',
+        f'{name}-{boot}',
         name,
         region,
         f'{region}-a',
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -8,16 +8,14 @@
 from yuccavalve.daemon.dependency import Dependency
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.exceptions import FeedHistoryLostError, StoreUnavailableError
-from yuccavalve.fleet.activity import engine_key
 from yuccavalve.fleet.const import (
-    ENGINE_POLL_DAEMONS,
-    ENGINE_POLL_FACTOR_MAX,
     ENGINE_POLL_FORMING_S,
     ENGINE_POLL_S,
+    FEED_RETRY_OTHERS_S,
     FEED_RETRY_S,
-    ROUTING_WAIT_MAX_S,
-    ROUTING_WAIT_MIN_S,
-    ROUTING_WAIT_PER_DAEMON_S,
+    RELAY_CHECK_S,
+    RELAY_OWN_POLL_S,
+    ROUTING_WAIT_S,
     STALL_CHECK_S,
 )
 from yuccavalve.timing import jittered
@@ -27,7 +25,7 @@
 
 @attrs.define
 class RoutingLoop:
-    """Waits at the routes' feed."""
+    """Waits at the routes' feed, unless others tell what it says."""
 
     node: GatewayNode
     _feed_version: int = 0
@@ -38,6 +36,9 @@
     async def async_run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
+            if not self.node.are_routes_stale():
+                await asyncio.sleep(RELAY_CHECK_S)
+                continue
             try:
                 await self._async_turn()
             except FeedHistoryLostError as error:
@@ -45,14 +46,15 @@
                 self._feed_version = 0
             except StoreUnavailableError as error:
                 self._dependency.note_lost(error)
-                await asyncio.sleep(jittered(self.node.random, FEED_RETRY_S))
+                await _async_pause_after_failure(self.node)
             else:
                 self._dependency.note_answer()
 
     async def _async_turn(self) -> None:
         feed = self.node.ports.routing_feed
         if self._feed_version and self.node.routing.table is not None:
-            reading = await feed.async_wait(self._feed_version, self._wait_s())
+            wait_s = jittered(self.node.random, ROUTING_WAIT_S)
+            reading = await feed.async_wait(self._feed_version, wait_s)
         else:
             reading = await feed.async_read()
         if reading.document:
@@ -60,13 +62,7 @@
         elif self.node.routing.table is None:
             await asyncio.sleep(FEED_RETRY_S)
         self._feed_version = reading.feed_version
-        self.node.routing.confirmed_at_s = self.node.clock.now_s()
-
-    def _wait_s(self) -> float:
-        """Return how long to wait for a change before asking anew."""
-        wait_s = ROUTING_WAIT_PER_DAEMON_S * self.node.live_daemons()
-        wait_s = min(ROUTING_WAIT_MAX_S, max(ROUTING_WAIT_MIN_S, wait_s))
-        return jittered(self.node.random, wait_s)
+        self.node.routing.note_confirmed(self.node.clock.now_s())
 
     def _adopt(self, document: bytes) -> None:
         try:
@@ -77,10 +73,12 @@
 
 @attrs.define
 class EngineLoop:
-    """Reads the changes of the engine list."""
+    """Reads the changes of the engine list, unless others tell them."""
 
     node: GatewayNode
     forming: bool = False
+    _whole_due: bool = True
+    _plans: bool = False
     _dependency: Dependency = attrs.field(
         factory=lambda: Dependency('engine_feed'),
     )
@@ -88,21 +86,34 @@
     async def async_run(self) -> None:
         """Read until cancelled."""
         while True:
+            self._note_role()
+            if not self.node.is_view_stale():
+                await asyncio.sleep(RELAY_CHECK_S)
+                continue
             try:
                 await self._async_turn()
             except FeedHistoryLostError as error:
                 logging.info('event=feed_restarted feed=engines %s', error)
-                self.node.view.version = 0
+                self._whole_due = True
             except StoreUnavailableError as error:
                 self._dependency.note_lost(error)
                 self.node.view.note_outage(self.node.clock.now_s())
-                await asyncio.sleep(jittered(self.node.random, FEED_RETRY_S))
+                await _async_pause_after_failure(self.node)
             else:
                 self._dependency.note_answer()
-                await self._async_pause()
+                await asyncio.sleep(
+                    jittered(self.node.random, self._period_s()),
+                )
+
+    def _note_role(self) -> None:
+        """Have all records read by a daemon that begins to plan.
 
-    async def _async_pause(self) -> None:
-        await asyncio.sleep(jittered(self.node.random, self._period_s()))
+        When engines renew their records is not told among daemons, and the
+        planner needs it.
+        """
+        if self.node.book.plans and not self._plans:
+            self._whole_due = True
+        self._plans = self.node.book.plans
 
     def _period_s(self) -> float:
         """Return the pause until the next reading; the planner's is short."""
@@ -110,21 +121,25 @@
             return ENGINE_POLL_FORMING_S
         if self.node.book.plans:
             return ENGINE_POLL_S
-        factor = self.node.live_daemons() / ENGINE_POLL_DAEMONS
-        return ENGINE_POLL_S * min(ENGINE_POLL_FACTOR_MAX, max(1, factor))
+        return RELAY_OWN_POLL_S
 
     async def _async_turn(self) -> None:
         view = self.node.view
         feed = self.node.ports.engine_feed
-        if view.version:
-            news = await feed.async_changes(view.version)
-        else:
+        if self._whole_due:
             news = await feed.async_read()
-        now_s = self.node.clock.now_s()
-        view.apply(news, now_s)
-        self.node.note_informed()
-        keys = {engine_key(record) for record in view.records()}
-        self.node.activity.forget_idle(keys, now_s)
+        else:
+            news = await feed.async_changes(view.version)
+        self._whole_due = False
+        view.apply(news, self.node.clock.now_s())
+        self.node.note_engines()
+
+
+async def _async_pause_after_failure(node: GatewayNode) -> None:
+    """Wait before the store is asked again, longer where others do it."""
+    hub = node.serves_as_hub() or node.routing.table is None
+    pause_s = FEED_RETRY_S if hub else FEED_RETRY_OTHERS_S
+    await asyncio.sleep(jittered(node.random, pause_s))
 
 
 @attrs.define
@@ -135,6 +150,7 @@
     """
 
     node: GatewayNode
+    _told: dict[str, int] = attrs.field(factory=dict)
 
     async def async_run(self) -> None:
         """Check until cancelled."""
@@ -152,3 +168,11 @@
                 for run in moved:
                     run.stalled = True
                     run.end()
+            self._tell_strikes(now_s)
+
+    def _tell_strikes(self, now_s: float) -> None:
+        """Have news of engines that newly stand still sent at once."""
+        strikes = self.node.activity.strikes(now_s)
+        if any(strikes[key] > self._told.get(key, 0) for key in strikes):
+            self.node.urgent.set()
+        self._told = strikes
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -1,5 +1,6 @@
 """The state of one gateway daemon and its outside systems."""
 
+import asyncio
 import uuid
 from collections.abc import Callable, Mapping
 from random import Random
@@ -9,25 +10,37 @@
 
 from yuccavalve.clock import BootClock, Clock
 from yuccavalve.daemon.entry_desk import EntryDesk
-from yuccavalve.fleet.activity import Activity
+from yuccavalve.fleet.activity import Activity, engine_key
 from yuccavalve.fleet.const import (
     DAEMON_SUSPECT_PER_MEMBER_S,
     DAEMON_SUSPECT_S,
+    HUB_STALE_S,
+    RELAY_STALE_S,
+    SHARE_FACTOR_MAX,
+    SHARE_FULL_RATE_DAEMONS,
+    SHARE_PERIOD_S,
 )
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.gateway import Dispatcher, Gateway, InboundDecoder, Placer
 from yuccavalve.gateway.budget import BudgetBook, BudgetTerms
-from yuccavalve.membership import Member, Roster
+from yuccavalve.membership import HubRanking, Member, Roster
 from yuccavalve.peers import PeerClient, ShareBook
 from yuccavalve.ports import TableStore
 from yuccavalve.ports.backend import BackendPort
-from yuccavalve.ports.fleet import EngineFeed, GroupOrders, RoutingFeed
+from yuccavalve.ports.fleet import (
+    EngineChanges,
+    EngineFeed,
+    GroupOrders,
+    RoutingFeed,
+)
 from yuccavalve.routing import RoutingState, RoutingTable
 from yuccavalve.settings import GatewaySettings
 
 __all__ = ('GatewayNode', 'GatewayPorts', 'build_gateway_node')
 
 _BOOT_DIGITS = 8
+_MILLI = 1000
+_ALWAYS_S = float('-inf')
 # Daemons of the platform share no key.
 _PEER_KEY = ''
 
@@ -73,6 +86,51 @@
     peers: PeerClient
     gateway: Gateway
     desk: EntryDesk
+    hubs: HubRanking
+    urgent: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def serves_as_hub(self) -> bool:
+        """Tell whether others may count on this daemon as their hub."""
+        own_hub = self.hubs.own_hub()
+        return own_hub == self.roster.own or self.book.has_followers()
+
+    def told_age_s(self) -> float:
+        """Return the age from which this daemon reads the store itself.
+
+        The planner always does, hubs when they hear nothing from it, and
+        those that follow them when they don't hear of that either.
+        """
+        if self.book.plans:
+            return _ALWAYS_S
+        return HUB_STALE_S if self.serves_as_hub() else RELAY_STALE_S
+
+    def is_view_stale(self) -> bool:
+        """Tell whether what is known of the engines is too old."""
+        age_s = self.clock.now_s() - self.view.read_at_s
+        return age_s > self.told_age_s()
+
+    def are_routes_stale(self) -> bool:
+        """Tell whether the routes were not confirmed for too long."""
+        age_s = self.clock.now_s() - self.routing.confirmed_at_s
+        return self.routing.table is None or age_s > self.told_age_s()
+
+    def share_period_s(self) -> float:
+        """Return the pause between exchanges, longer in a large cell."""
+        factor = self.book.cell_size() / SHARE_FULL_RATE_DAEMONS
+        return SHARE_PERIOD_S * min(SHARE_FACTOR_MAX, max(1, factor))
+
+    def take_engines(self, news: EngineChanges, read_at_s: float) -> bool:
+        """Take in another daemon's view; tell whether it was as new."""
+        taken = self.view.apply_relayed(news, read_at_s)
+        if taken:
+            self.note_engines()
+        return taken
+
+    def note_engines(self) -> None:
+        """Note that what is known of the engines was brought up to date."""
+        self.note_informed()
+        keys = {engine_key(record) for record in self.view.records()}
+        self.activity.forget_idle(keys, self.clock.now_s())
 
     def live_daemons(self) -> int:
         """Return how many daemons are alive, this one included."""
@@ -144,6 +202,7 @@
             random,
             bounds.entry_lifetime_s,
         ),
+        hubs=HubRanking(roster),
     )
 
 
@@ -156,4 +215,7 @@
         availability_zone=daemon.availability_zone,
         caller_address=settings.listen.caller_address,
         peer_address=settings.listen.peer_address,
+        processor_millicores=int(
+            daemon.processor_share * daemon.processor_speed * _MILLI,
+        ),
     )
--- a/yuccavalve/daemon/gateway_peers.py
+++ b/yuccavalve/daemon/gateway_peers.py
@@ -8,89 +8,158 @@
 from yuccavalve.daemon.dependency import Dependency
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.exceptions import StoreUnavailableError
-from yuccavalve.fleet.const import SHARE_PERIOD_S
+from yuccavalve.fleet.const import SHARE_URGENT_PAUSE_S
 from yuccavalve.membership import Member
 from yuccavalve.membership.const import MEMBER_PREFIX
 from yuccavalve.peers import PeerUnreachableError
-from yuccavalve.peers.const import SHARE_FANOUT, SHARE_TIMEOUT_S
+from yuccavalve.peers.const import SHARE_TIMEOUT_S
+from yuccavalve.peers.engine_news import changes_of
 from yuccavalve.peers.generated import peer_pb2
+from yuccavalve.peers.messages import unpack_document
 from yuccavalve.ports import Transaction, Write
 from yuccavalve.timing import jittered
 
 __all__ = ('MemberLoop', 'ShareLoop')
 
+_MS = 1000
+# Every how many rounds a hub asks a daemon that it does not hear of.
+SILENT_ROUNDS = 4
 # Pauses between readings of the members' rows: soon after the start, while
-# nobody else is known, and when daemons tell of each other.
-_FIRST_PAUSES_S = (0.3, 0.5, 1.0, 2.0)
+# nobody else is known or digests name unknown daemons, and when daemons tell
+# of each other.
+_FIRST_PAUSES_S = (0.4, 1.5)
 _ALONE_PAUSE_S = 2.0
-_PAUSE_S = 20.0
+_PAUSE_S = 60.0
 
 
 @attrs.define
 class ShareLoop:
-    """Exchanges news with a few daemons at a time."""
+    """Exchanges news with the own hub, or as a hub with others."""
 
     node: GatewayNode
     _dependencies: dict[str, Dependency] = attrs.field(factory=dict)
+    _calls: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    _rounds: int = 0
+    _known: peer_pb2.EnginesKnown = attrs.field(
+        factory=peer_pb2.EnginesKnown,
+    )
 
     async def async_run(self) -> None:
         """Exchange until cancelled."""
         while True:
-            period_s = SHARE_PERIOD_S * self.node.book.factor()
-            await asyncio.sleep(jittered(self.node.random, period_s))
+            await self._async_pause()
             try:
                 await self._async_round()
             except Exception:
                 logging.exception('event=share_failed')
 
+    async def _async_pause(self) -> None:
+        """Wait for the next turn, or for news that can't wait for it."""
+        node = self.node
+        period_s = jittered(node.random, node.share_period_s())
+        node.urgent.clear()
+        try:
+            await asyncio.wait_for(node.urgent.wait(), period_s)
+        except TimeoutError:
+            return
+        await asyncio.sleep(SHARE_URGENT_PAUSE_S)
+
     async def _async_round(self) -> None:
         node = self.node
         node.book.started = node.book.started or node.gateway.has_begun
-        await asyncio.gather(
-            *(self._async_share(each) for each in self._drawn())
-        )
+        self._rounds += 1
+        hub = node.hubs.own_hub()
+        node.book.follows = hub != node.roster.own
+        if node.book.follows:
+            self._call(hub, follows=True)
+        if node.serves_as_hub():
+            for other in self._other_hubs():
+                self._call(other, follows=False)
         node.book.expire()
         await self._async_fetch_routes()
         await node.peers.async_close_idle()
 
-    def _drawn(self) -> list[Member]:
-        """Return a few daemons that are alive, and one that may not be.
+    def _other_hubs(self) -> list[Member]:
+        """Return the hubs to exchange with now, and a silent daemon at times.
 
-        One of the live ones is from anywhere, the others are near, since
-        bytes between availability zones are dear and news spreads all the
-        same.
+        One that is silent may have been cut off and hear of nobody.
         """
-        roster = self.node.roster
-        now_s = self.node.clock.now_s()
-        others = roster.members()[1:]
-        live = [each for each in others if roster.is_alive(each.member, now_s)]
-        silent = [each for each in others if each not in live]
-        zone = roster.own.availability_zone
-        near = [each for each in live if each.availability_zone == zone]
-        anywhere = self._sample([each for each in live if each not in near], 1)
-        return [
-            *anywhere,
-            *self._sample(near, SHARE_FANOUT - len(anywhere)),
-            *self._sample(silent, 1),
-        ]
-
-    def _sample(self, members: list[Member], count: int) -> list[Member]:
-        return self.node.random.sample(members, min(count, len(members)))
-
-    async def _async_share(self, member: Member) -> None:
-        sent_at_s = self.node.clock.now_s()
+        node = self.node
+        others = node.hubs.other_hubs()
+        if self._rounds % SILENT_ROUNDS == 0:
+            silent = [
+                each
+                for each in node.hubs.silent(node.clock.now_s())
+                if each not in others
+            ]
+            others.extend(node.random.sample(silent, min(1, len(silent))))
+        return others
+
+    def _call(self, member: Member, *, follows: bool) -> None:
+        """Exchange with a daemon unless the last exchange is under way."""
+        if member.member in self._calls:
+            return
+        task = asyncio.create_task(self._async_share(member, follows=follows))
+        self._calls[member.member] = task
+        task.add_done_callback(
+            lambda _: self._calls.pop(member.member, None),
+        )
+
+    async def _async_share(self, member: Member, *, follows: bool) -> None:
+        node = self.node
+        sent_at_s = node.clock.now_s()
+        message = node.book.message(member.member, follows=follows)
+        if follows or self._asks_for_engines(member):
+            message.engines_known.CopyFrom(self._known)
         try:
-            reply = await self.node.peers.async_call(
+            reply = await node.peers.async_call(
                 member.peer_address,
                 'Share',
-                self.node.book.message(),
+                message,
                 SHARE_TIMEOUT_S,
             )
         except PeerUnreachableError as error:
+            node.hubs.note_failure(member.member, sent_at_s)
             self._note(member.name).note_lost(error)
             return
+        node.hubs.note_answer(member.member)
         self._note(member.name).note_answer()
-        self.node.book.read(reply, sent_at_s)
+        if node.book.read(reply, sent_at_s):
+            node.urgent.set()
+        self._take_view(reply, sent_at_s)
+
+    def _asks_for_engines(self, member: Member) -> bool:
+        """Tell whether a hub asks another for what that read of the store.
+
+        It is the planner that is asked, or any where all is out of date.
+        """
+        if self.node.book.plans:
+            return False
+        plans = self.node.book.planner() == member.member
+        return plans or self.node.is_view_stale()
+
+    def _take_view(
+        self,
+        reply: peer_pb2.ShareMessage,
+        sent_at_s: float,
+    ) -> None:
+        """Take in what another daemon read from the store."""
+        if reply.HasField('engines'):
+            news = reply.engines
+            taken = self.node.take_engines(
+                changes_of(news),
+                sent_at_s - news.age_ms / _MS,
+            )
+            if taken:
+                self._known = peer_pb2.EnginesKnown(
+                    source=news.source,
+                    revision=news.revision,
+                )
+        same = reply.sender.routing_version == self.node.routing.version
+        if same and reply.HasField('routing_age_ms'):
+            self.node.routing.note_confirmed(
+                sent_at_s - reply.routing_age_ms / _MS,
+            )
 
     def _note(self, name: str) -> Dependency:
         dependency = self._dependencies.get(name)
@@ -115,7 +184,8 @@
             logging.info('event=routes_not_fetched cause=%r', str(error))
             return
         if reply.document:
-            self.node.adopt_routes(reply.document, address)
+            document = unpack_document(reply.document)
+            self.node.adopt_routes(document, address)
 
 
 @attrs.define
@@ -134,7 +204,7 @@
             except StoreUnavailableError as error:
                 logging.info('event=members_unread cause=%r', str(error))
             delay_s = delays_s.pop(0) if delays_s else self._pause_s()
-            await asyncio.sleep(jittered(self.node.random, delay_s))
+            await self._async_pause(jittered(self.node.random, delay_s))
 
     async def async_unregister(self) -> None:
         """Remove the own row."""
@@ -155,6 +225,9 @@
             (member.member for member in members),
             self.node.clock.now_s(),
         )
+        self.node.hubs.forget(
+            member.member for member in self.node.roster.members()
+        )
 
     def _key(self) -> str:
         """Return a key that a later process of this daemon takes over."""
@@ -162,3 +235,14 @@
 
     def _pause_s(self) -> float:
         return _ALONE_PAUSE_S if self.node.live_daemons() < 2 else _PAUSE_S
+
+    async def _async_pause(self, pause_s: float) -> None:
+        """Wait, but not longer than a little when a digest names unknowns."""
+        clock = self.node.clock
+        until_s = clock.now_s() + pause_s
+        while clock.now_s() < until_s:
+            left_s = until_s - clock.now_s()
+            await asyncio.sleep(min(_ALONE_PAUSE_S, left_s))
+            if self.node.book.unknown_daemons:
+                self.node.book.unknown_daemons = False
+                return
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -127,7 +127,8 @@
         node = self._node
         listen = node.settings.listen
         # The library ties a server to the loop that runs at its making.
-        self._peer_server = PeerServer(ShareServicer(node.book), _PEER_KEY)
+        servicer = ShareServicer(node.book, node.view, node.urgent.set)
+        self._peer_server = PeerServer(servicer, _PEER_KEY)
         await self._peer_server.async_start(listen.peer_address)
         desk_application = node.ports.entry_application(node.desk)
         for address, application in (
--- a/yuccavalve/daemon/lease_loop.py
+++ b/yuccavalve/daemon/lease_loop.py
@@ -20,6 +20,8 @@
 _LEASE_S = 2.0
 _LEASE_MARGIN_S = 0.4
 _LEASE_POLL_S = 0.45
+# How long daemons that are no hubs leave the lease to these.
+_OTHERS_WAIT_S = 4.0
 # Failed calls in a row after which a holder yields the lease.
 _YIELD_FAILURES = 2
 
@@ -31,6 +33,11 @@
     node: GatewayNode
     lease: Lease = attrs.field(init=False)
     _failures: int = 0
+    _planned_at_s: float = attrs.field(init=False)
+
+    @_planned_at_s.default
+    def _start(self) -> float:
+        return self.node.clock.now_s()
 
     @lease.default
     def _new_lease(self) -> Lease:
@@ -63,12 +70,13 @@
     def _note_unavailable(self, error: StoreUnavailableError) -> None:
         """Give the lease up when the store turns this daemon away.
 
-        Others may reach the store, and take over at once when they hear.
+        Others may reach the store, and take over at once when they hear,
+        also of a lease that has run out meanwhile.
         """
         self._failures += 1
         if self._failures == 1:
             logging.warning('event=lease_unreached cause=%r', str(error))
-        if self._failures >= _YIELD_FAILURES and self.is_held():
+        if self._failures >= _YIELD_FAILURES and self.lease.is_own():
             self.node.book.yielded_lease = self.lease.forfeit()
             logging.warning(
                 'event=lease_yielded version=%d',
@@ -86,11 +94,14 @@
     async def _async_turn(self) -> None:
         node = self.node
         planner = node.book.planner()
+        now_s = node.clock.now_s()
+        if planner:
+            self._planned_at_s = now_s
+            node.book.yielded_lease = 0
         if node.gateway.stop.stopping or (planner and not self.is_held()):
             return
-        if node.routing.table is None:
+        if node.routing.table is None or not self._may_contend(now_s):
             return
-        now_s = node.clock.now_s()
         vacant = False
         if not self.is_held():
             await self._async_observe()
@@ -107,6 +118,19 @@
         if step is LeaseStep.ACQUIRE:
             logging.warning('event=lease_acquired duty=planner')
 
+    def _may_contend(self, now_s: float) -> bool:
+        """Tell whether this daemon may ask for the lease.
+
+        Hubs do at once; others leave it to them for a while, so that not
+        all daemons read the row while nobody plans. A holder that yields
+        was turned away by the store, so its hub may be too.
+        """
+        if self.is_held() or self.node.serves_as_hub():
+            return True
+        if self.node.book.yielded_leases():
+            return True
+        return now_s - self._planned_at_s >= _OTHERS_WAIT_S
+
     async def _async_observe(self) -> None:
         keys = [self.lease.key, self.lease.term_key]
         rows = await self.node.ports.table.async_read(keys)
--- a/yuccavalve/fleet/const.py
+++ b/yuccavalve/fleet/const.py
@@ -5,20 +5,25 @@
 # Reading the engine list. An engine that leaves must get no new work within
 # the platform's drain bound of about 2 s, so several readings fit into it.
 ENGINE_POLL_S: Final = 0.4
-# With many daemons each reads less often, since the store's calls are shared
-# and paid for: longer by the daemons over this number, up to the factor.
-ENGINE_POLL_DAEMONS: Final = 10
-ENGINE_POLL_FACTOR_MAX: Final = 3.0
+# Age of what the planner tells of engines and routes from which a hub reads
+# the store itself, and of what a hub tells from which one that follows it
+# does. Usual are up to 0.8 s and 1.1 s: the planner's pause between readings
+# and one or two pauses between exchanges. With a reading of their own all are
+# within the bounds of about 2 s for engines that leave and for routes.
+HUB_STALE_S: Final = 1.0
+RELAY_STALE_S: Final = 1.4
+# Pause between readings of a daemon that does not plan.
+RELAY_OWN_POLL_S: Final = 0.8
+# Period of the check whether a hub's news is still fresh.
+RELAY_CHECK_S: Final = 0.1
 # While replicas form, members' states decide the next step.
 ENGINE_POLL_FORMING_S: Final = 0.12
-# Pause after a failed reading.
+# Pause after a failed reading, of a hub and of others.
 FEED_RETRY_S: Final = 0.3
-# Wait of one call to the routes' feed, for each daemon alive. A connection can
-# go silent for good, so some daemon must ask anew every second or so; it
-# tells the others.
-ROUTING_WAIT_PER_DAEMON_S: Final = 0.8
-ROUTING_WAIT_MIN_S: Final = 1.5
-ROUTING_WAIT_MAX_S: Final = 10.0
+FEED_RETRY_OTHERS_S: Final = 1.5
+# Wait of one call to the routes' feed. A connection can go silent for good,
+# so the planner asks anew this often, which also confirms the routes to all.
+ROUTING_WAIT_S: Final = 0.5
 # How long entries that lapsed in an outage of the store may take to come
 # back, as the platform states.
 LAPSED_RETURN_S: Final = 2.5
@@ -30,6 +35,9 @@
 # How long engines that are not listed are remembered; those that leave serve
 # on for ten seconds at most while their replica has work, and at times more.
 UNLISTED_KEPT_S: Final = 40.0
+# Engines that are gone of which a view remembers that they are, for those
+# that follow it; a follower that missed more gets all records.
+GONE_REMEMBERED: Final = 500
 # Longest silence that is logged.
 LAPSE_SILENCE_MAX_S: Final = 1000.0
 
@@ -57,15 +65,17 @@
 FRESH_PROGRESS_S: Final = 0.5
 # Strikes that prove that a replica stands still.
 STRIKES_PROVEN: Final = 2
-# Pause between news of loads among daemons, and the age up to which a
+# Pause between exchanges of news among daemons, and the age up to which a
 # daemon's news counts.
 SHARE_PERIOD_S: Final = 0.25
 SHARE_TRUST_S: Final = 1.5
-# With more daemons than this both grow, up to the factor, so that what a
-# daemon sends stays bounded.
-SHARE_FULL_RATE_DAEMONS: Final = 20
-SHARE_FACTOR_MAX: Final = 2.0
+# Pause before news that can't wait is sent, so that more of it goes along.
+SHARE_URGENT_PAUSE_S: Final = 0.02
+# In a larger cell than this the pause grows, up to the factor.
+SHARE_FULL_RATE_DAEMONS: Final = 40
+SHARE_FACTOR_MAX: Final = 1.5
 # A daemon without news for this long, and a little more for each other one,
-# is not named to callers any more.
+# is not named to callers any more. A hub that dies is replaced within 0.6 s,
+# and all of its cell is heard of again within another second.
 DAEMON_SUSPECT_S: Final = 2.0
-DAEMON_SUSPECT_PER_MEMBER_S: Final = 0.02
+DAEMON_SUSPECT_PER_MEMBER_S: Final = 0.002
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from yuccavalve.fleet.const import (
+    GONE_REMEMBERED,
     LAPSE_SILENCE_MAX_S,
     LAPSE_SILENCE_S,
     LAPSED_RETURN_S,
@@ -51,6 +52,8 @@
     _unlisted_at_s: dict[str, float] = attrs.field(factory=dict)
     _beat_at_s: dict[str, float] = attrs.field(factory=dict)
     _records: dict[str, EngineRecord] = attrs.field(factory=dict)
+    _revisions: dict[str, int] = attrs.field(factory=dict)
+    _oldest_revision: int = 0
     _missing_since_s: dict[str, float] = attrs.field(factory=dict)
     _outage_until_s: float = _NEVER_S
     _heads: dict[str, tuple[EngineRecord, ...]] = attrs.field(factory=dict)
@@ -83,6 +86,58 @@
                 self._apply_record(engine, None, now_s)
         self._sweep(now_s)
 
+    def apply_relayed(self, news: EngineChanges, read_at_s: float) -> bool:
+        """Take in another daemon's view; tell whether it was as new.
+
+        What that daemon takes for gone is gone here at once: it has already
+        waited for entries that may return.
+
+        Parameters
+        ----------
+        news
+            Changes, with the version of the feed that they reflect.
+        read_at_s
+            Reading of the own clock that is surely not after that daemon
+            read the feed.
+        """
+        if news.version < self.version:
+            return False
+        self.version = news.version
+        self.read_at_s = max(self.read_at_s, read_at_s)
+        if self.first_read_at_s == _NEVER_S:
+            self.first_read_at_s = read_at_s
+        for engine, record in news.records.items():
+            self._log(engine, record, news)
+            if record is None:
+                self._drop(engine, LAPSE_SILENCE_S)
+            else:
+                self._apply_record(engine, record, read_at_s)
+        if news.whole:
+            for missing in self._records.keys() - news.records.keys():
+                self._drop(missing, LAPSE_SILENCE_S)
+        return True
+
+    def changed_since(
+        self,
+        revision: int,
+    ) -> dict[str, EngineRecord | None] | None:
+        """Return what changed after a revision of this view.
+
+        Returns
+        -------
+        dict or None
+            Records by engine, None for one that is gone; None instead of
+            a dict where that is not known any more, so that all records
+            are needed.
+        """
+        if not self._oldest_revision <= revision <= self.changes:
+            return None
+        return {
+            engine: self._records.get(engine)
+            for engine, changed in self._revisions.items()
+            if changed > revision
+        }
+
     def records(self) -> Iterable[EngineRecord]:
         """Return the records of all engines that may be alive."""
         return self._records.values()
@@ -152,7 +207,18 @@
         self._beat_at_s[engine] = now_s
         if record != known:
             self._records[engine] = record
-            self.changes += 1
+            self._note_change(engine)
+
+    def _note_change(self, engine: str) -> None:
+        self.changes += 1
+        self._revisions[engine] = self.changes
+        if len(self._revisions) > len(self._records) + GONE_REMEMBERED:
+            self._oldest_revision = self.changes
+            self._revisions = {
+                each: revision
+                for each, revision in self._revisions.items()
+                if each in self._records
+            }
 
     def _sweep(self, now_s: float) -> None:
         """Drop engines that have left, and those whose silence proves it.
@@ -171,15 +237,16 @@
                 self._drop(engine, silent_s)
 
     def _drop(self, engine: str, silent_s: float) -> None:
-        self._missing_since_s.pop(engine)
+        self._missing_since_s.pop(engine, None)
         self._beat_at_s.pop(engine, None)
         record = self._records.pop(engine, None)
-        if record is not None:
-            self.unlisted[engine] = record
-            self._unlisted_at_s[engine] = self.read_at_s
-            if silent_s < LAPSE_SILENCE_S:
-                self.departed.add(engine)
-        self.changes += 1
+        if record is None:
+            return
+        self.unlisted[engine] = record
+        self._unlisted_at_s[engine] = self.read_at_s
+        if silent_s < LAPSE_SILENCE_S:
+            self.departed.add(engine)
+        self._note_change(engine)
         logging.info(
             'event=engine_gone engine=%s silent_ms=%d',
             engine,
--- a/yuccavalve/membership/__init__.py
+++ b/yuccavalve/membership/__init__.py
@@ -2,12 +2,14 @@
 
 from yuccavalve.membership.duties import Lease, LeaseStep
 from yuccavalve.membership.electorate import next_electorate
+from yuccavalve.membership.hubs import HubRanking
 from yuccavalve.membership.models import Member
 from yuccavalve.membership.registry import MemberRegistry
 from yuccavalve.membership.roster import Roster
 from yuccavalve.membership.view import PeerView
 
 __all__ = (
+    'HubRanking',
     'Lease',
     'LeaseStep',
     'Member',
--- a/yuccavalve/membership/duties.py
+++ b/yuccavalve/membership/duties.py
@@ -69,7 +69,7 @@
             self._seen_at_s = now_s
         self._row = row
         term_row = rows.get(self.term_key)
-        if self._is_own() and term_row is not None:
+        if self.is_own() and term_row is not None:
             self.term_condition = Condition(self.term_key, term_row.version)
         else:
             self.term_condition = None
@@ -93,7 +93,7 @@
         vacant
             Whether the holder is known to act no more.
         """
-        if self._is_own():
+        if self.is_own():
             renew_at_s = self.held_until_s - self.duration_s / 2
             return LeaseStep.RENEW if now_s >= renew_at_s else LeaseStep.WAIT
         if self._row is None:
@@ -156,7 +156,7 @@
 
     def release(self) -> Transaction | None:
         """Return the transaction that gives the lease up, if it is held."""
-        if not self._is_own():
+        if not self.is_own():
             return None
         self.held_until_s = _NEVER_S
         return Transaction(
@@ -164,7 +164,7 @@
             (Write(self.key, None),),
         )
 
-    def _is_own(self) -> bool:
+    def is_own(self) -> bool:
         return (
             self._row is not None and self._row.fields['holder'] == self.member
         )
--- a/yuccavalve/membership/models.py
+++ b/yuccavalve/membership/models.py
@@ -15,6 +15,8 @@
         Unique to the process: a restart is another member.
     name
         The daemon's name from its settings.
+    processor_millicores
+        Speed of its processor, in thousandths of a core.
     """
 
     member: str
@@ -24,3 +26,4 @@
     caller_address: str
     peer_address: str
     leaving: bool = False
+    processor_millicores: int = 1000
--- a/yuccavalve/membership/roster.py
+++ b/yuccavalve/membership/roster.py
@@ -71,14 +71,31 @@
         earlier_s = self._heard_at_s.get(member, _NEVER_S)
         self._heard_at_s[member] = max(earlier_s, at_s)
 
+    def replace_earlier(self, member: Member) -> None:
+        """Drop other processes of a daemon that were heard of before this.
+
+        A daemon runs as one process at a time, so the one heard of last is
+        the one that runs.
+        """
+        heard_at_s = self.heard_at(member.member)
+        for known in self.members()[1:]:
+            if known.name != member.name or known.member == member.member:
+                continue
+            if self.heard_at(known.member) <= heard_at_s:
+                self.forget(known.member)
+
+    def forget(self, member: str) -> None:
+        """Drop what is known of a member."""
+        self._members.pop(member, None)
+        self._heard_at_s.pop(member, None)
+        self._index = None
+
     def forget_except(self, registered: Iterable[str], now_s: float) -> None:
         """Drop members that are neither registered nor heard of lately."""
         kept = set(registered)
         for name in list(self._members):
             if name not in kept and not self.is_alive(name, now_s):
-                self._members.pop(name)
-                self._heard_at_s.pop(name, None)
-                self._index = None
+                self.forget(name)
 
     def is_alive(self, member: str, now_s: float) -> bool:
         """Tell whether a member was heard of within the suspicion time."""
--- a/yuccavalve/peers/const.py
+++ b/yuccavalve/peers/const.py
@@ -26,9 +26,9 @@
 FRAME_BYTES: Final = 141
 CONNECT_BYTES: Final = 540
 CHANNEL_IDLE_S: Final = 30.0
-# Entries of other daemons in one message among gateway daemons; more would
-# make the cost grow with the number of daemons.
-SHARE_ENTRIES: Final = 12
-# Daemons that are told news at a time.
-SHARE_FANOUT: Final = 3
+# How long a hub tells others the whole record of a daemon that is new to it;
+# they hear of its cell several times a second.
+INTRODUCE_S: Final = 5.0
+# A hub's digest may be this old, so that it is not made anew for each reply.
+DIGEST_PERIOD_S: Final = 0.05
 SHARE_TIMEOUT_S: Final = 0.6
--- /dev/null
+++ b/yuccavalve/peers/engine_news.py
@@ -0,0 +1,114 @@
+"""Engines' records in messages among gateway daemons."""
+
+from yuccavalve.fleet.view import FleetView
+from yuccavalve.peers.generated import peer_pb2
+from yuccavalve.peers.messages import age_ms
+from yuccavalve.ports.fleet import (
+    EngineChanges,
+    EngineRecord,
+    Membership,
+    MemberState,
+)
+
+__all__ = ('changes_of', 'news_for')
+
+
+def news_for(
+    view: FleetView,
+    source: str,
+    known: peer_pb2.EnginesKnown,
+    now_s: float,
+) -> peer_pb2.EngineNews:
+    """Return what a daemon does not know yet of a view.
+
+    Parameters
+    ----------
+    view
+        What this daemon knows of the engines.
+    source
+        Id of this daemon.
+    known
+        Up to where the other knows a view, and whose.
+    now_s
+        Reading of the clock.
+    """
+    changed = None
+    if known.source == source:
+        changed = view.changed_since(known.revision)
+    whole = changed is None
+    if changed is None:
+        changed = {record.engine: record for record in view.records()}
+    news = peer_pb2.EngineNews(
+        source=source,
+        revision=view.changes,
+        whole=whole,
+        age_ms=age_ms(now_s - view.read_at_s),
+        feed_version=view.version,
+    )
+    news.engines.extend(
+        _state_of(engine, record) for engine, record in changed.items()
+    )
+    return news
+
+
+def changes_of(news: peer_pb2.EngineNews) -> EngineChanges:
+    """Return the changes in a message."""
+    return EngineChanges(
+        news.feed_version,
+        {
+            state.engine: None if state.gone else _record_of(state)
+            for state in news.engines
+        },
+        whole=news.whole,
+    )
+
+
+def _state_of(
+    engine: str,
+    record: EngineRecord | None,
+) -> peer_pb2.EngineState:
+    if record is None:
+        return peer_pb2.EngineState(engine=engine, gone=True)
+    state = peer_pb2.EngineState(
+        engine=engine,
+        service=record.service,
+        address=record.address,
+        availability_zone=record.availability_zone,
+        draining=record.draining,
+        born_ms=record.born_ms,
+        slots=record.slots,
+        fabric_domain=record.fabric_domain,
+        models=record.models,
+        staged=sorted(record.staged),
+    )
+    membership = record.membership
+    if membership is not None:
+        state.replica = membership.replica
+        state.epoch = membership.epoch
+        state.rank = membership.rank
+        state.member_state = membership.state.value
+    return state
+
+
+def _record_of(state: peer_pb2.EngineState) -> EngineRecord:
+    membership = None
+    if state.replica:
+        membership = Membership(
+            state.replica,
+            state.epoch,
+            state.rank,
+            MemberState(state.member_state),
+        )
+    return EngineRecord(
+        engine=state.engine,
+        service=state.service,
+        address=state.address,
+        availability_zone=state.availability_zone,
+        draining=state.draining,
+        born_ms=state.born_ms,
+        slots=state.slots,
+        fabric_domain=state.fabric_domain,
+        models=tuple(state.models),
+        staged=frozenset(state.staged),
+        membership=membership,
+    )
--- a/yuccavalve/peers/messages.py
+++ b/yuccavalve/peers/messages.py
@@ -19,8 +19,10 @@
     'head_of',
     'member_of',
     'pack_configuration',
+    'pack_document',
     'run_of',
     'unpack_configuration',
+    'unpack_document',
     'voter_age',
 )
 
@@ -45,12 +47,29 @@
         caller_address=head.caller_address,
         peer_address=head.peer_address,
         leaving=head.leaving,
+        processor_millicores=head.processor_millicores,
     )
 
 
+def pack_document(document: bytes) -> bytes:
+    """Return a document compressed."""
+    return zlib.compress(document)
+
+
+def unpack_document(packed: bytes) -> bytes:
+    """Return what ``pack_document`` was given.
+
+    Raises
+    ------
+    zlib.error
+        When the bytes are not a compressed document.
+    """
+    return zlib.decompressobj().decompress(packed, _MAX_BYTES)
+
+
 def pack_configuration(configuration: Configuration) -> bytes:
     """Return a configuration as compressed JSON."""
-    return zlib.compress(encode_configuration(configuration))
+    return pack_document(encode_configuration(configuration))
 
 
 def unpack_configuration(packed: bytes) -> Configuration:
@@ -61,8 +80,7 @@
     zlib.error, ValueError
         When the bytes are not a configuration.
     """
-    unpacker = zlib.decompressobj()
-    return decode_configuration(unpacker.decompress(packed, _MAX_BYTES))
+    return decode_configuration(unpack_document(packed))
 
 
 def voter_age(report: Evidence, now_s: float) -> peer_pb2.VoterAge:
--- a/yuccavalve/peers/server.py
+++ b/yuccavalve/peers/server.py
@@ -1,14 +1,23 @@
 """Serve peers."""
 
+import math
+from collections.abc import Callable
 from typing import Any
 
 import grpc
 
 from yuccavalve.access import keys_equal
+from yuccavalve.fleet.view import FleetView
 from yuccavalve.peers.const import KEY_METADATA, SERVER_OPTIONS
+from yuccavalve.peers.engine_news import news_for
 from yuccavalve.peers.exchange import PeerState
 from yuccavalve.peers.generated import peer_pb2, peer_pb2_grpc
-from yuccavalve.peers.messages import pack_configuration, unpack_configuration
+from yuccavalve.peers.messages import (
+    age_ms,
+    pack_configuration,
+    pack_document,
+    unpack_configuration,
+)
 from yuccavalve.peers.sharing import ShareBook
 
 __all__ = ('PeerServer', 'ShareServicer', 'StateServicer')
@@ -70,20 +79,48 @@
 
 
 class ShareServicer(peer_pb2_grpc.PeerServicer):
-    """Answers gateway daemons with news and routes."""
-
-    def __init__(self, book: ShareBook) -> None:
-        """Keep the news."""
+    """Answers gateway daemons with news, engines and routes."""
+
+    def __init__(
+        self,
+        book: ShareBook,
+        view: FleetView,
+        note_urgent: Callable[[], None],
+    ) -> None:
+        """Keep what is told, and what to call when others must know."""
         self._book = book
+        self._view = view
+        self._note_urgent = note_urgent
+        self._packed_version = 0
+        self._packed = b''
 
     async def Share(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Take news in and return the own."""
-        self._book.read(request, self._book.clock.now_s())
-        return self._book.message()
+        now_s = self._book.clock.now_s()
+        if self._book.read(request, now_s):
+            self._note_urgent()
+        reply = self._book.reply(request)
+        confirmed_age_s = now_s - self._book.routing.confirmed_at_s
+        if math.isfinite(confirmed_age_s):
+            reply.routing_age_ms = age_ms(confirmed_age_s)
+        if request.HasField('engines_known') and self._view.version:
+            reply.engines.CopyFrom(
+                news_for(
+                    self._view,
+                    self._book.roster.own.member,
+                    request.engines_known,
+                    now_s,
+                ),
+            )
+        return reply
 
     async def Routes(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Return the routes in force here."""
-        return peer_pb2.RoutesReply(document=self._book.routing.document)
+        routing = self._book.routing
+        if routing.version != self._packed_version:
+            self._packed = pack_document(routing.document)
+            self._packed_version = routing.version
+        return peer_pb2.RoutesReply(document=self._packed)
 
 
 class PeerServer:
--- a/yuccavalve/routing/state.py
+++ b/yuccavalve/routing/state.py
@@ -33,6 +33,10 @@
         """Return the version in force, 0 before the first."""
         return 0 if self.table is None else self.table.version
 
+    def note_confirmed(self, at_s: float) -> None:
+        """Note that the store held this version as its newest."""
+        self.confirmed_at_s = max(self.confirmed_at_s, at_s)
+
     def adopt(self, table: RoutingTable, document: bytes, source: str) -> bool:
         """Put a version in force if it is newer; tell whether it was."""
         if table.version <= self.version:
--- a/yuccavalve/settings/gateway.py
+++ b/yuccavalve/settings/gateway.py
@@ -13,11 +13,20 @@
 
 @attrs.frozen
 class GatewayDaemonSettings:
-    """Which daemon this is and where it stands."""
+    """Which daemon this is and where it stands.
+
+    Attributes
+    ----------
+    processor_share, processor_speed
+        Part of a core that the daemon has, and how many times as fast as a
+        usual one that core is. The fastest of a zone serve as its hubs.
+    """
 
     name: str
     region: str
     availability_zone: str
+    processor_share: float = 1
+    processor_speed: float = 1
 
 
 @attrs.frozen
