--- a/tests/formation/test_book.py
+++ b/tests/formation/test_book.py
@@ -153,6 +153,70 @@
         self.assertEqual(self._open('m6'), 2)
 
 
+class SpareTest(unittest.TestCase):
+    """Replicas of three engines in one domain while requests come."""
+
+    def _model(self, engines: int) -> FleetModel:
+        model = FleetModel(
+            Random(1),
+            service_profile((3,), (1,), load_s=12, warm_s=1.2),
+            started=False,
+        )
+        model.add('d0', engines)
+        self.book = _book()
+        model.run(30, self.book)
+        model.started = True
+        return model
+
+    def _members(self, model: FleetModel, number: int) -> tuple[str, ...]:
+        joined = model.open_heads('m3')[number].joined
+        return () if joined is None else joined.members
+
+    def test_warm_spare_joins_without_loading(self) -> None:
+        model = self._model(7)
+        model.kill(self._members(model, 0)[2])
+        # Its death is known after 1 s and records lag by up to 0.4 s.
+        model.run(2.4, self.book)
+        self.assertEqual(len(model.open_heads('m3')), 2)
+        self.assertEqual(model.broken_promises, [])
+
+    def test_survivors_stand_in_for_each_other(self) -> None:
+        model = self._model(6)
+        lost = [self._members(model, number)[2] for number in range(2)]
+        for name in lost:
+            model.kill(name)
+        model.run(2.4, self.book)
+        self.assertEqual(len(model.open_heads('m3')), 1)
+
+    def test_survivors_are_not_bound_while_another_engine_loads(self) -> None:
+        model = self._model(6)
+        model.add('d0', 1)
+        first, second = (self._members(model, number) for number in range(2))
+        model.kill(first[2])
+        model.run(2.6, self.book)
+        model.kill(second[2])
+        model.run(2.4, self.book)
+        self.assertEqual(len(model.open_heads('m3')), 1)
+
+    def test_newcomers_do_not_delay_a_repair(self) -> None:
+        model = self._model(7)
+        model.kill(self._members(model, 0)[2])
+        for _ in range(6):
+            model.add('d0', 1)
+            model.run(0.4, self.book)
+        self.assertGreaterEqual(len(model.open_heads('m3')), 2)
+
+    def test_next_planner_finds_the_spares_warm(self) -> None:
+        model = self._model(7)
+        orders = model.orders
+        book = _book(2)
+        model.run(3, book)
+        self.assertEqual(model.orders, orders)
+        model.kill(self._members(model, 0)[2])
+        model.run(2.4, book)
+        self.assertEqual(len(model.open_heads('m3')), 2)
+
+
 class InterleavingTest(unittest.TestCase):
     """Deaths, late orders, lost answers and two planners at once."""
 
--- a/tests/platform/standin/store.py
+++ b/tests/platform/standin/store.py
@@ -170,7 +170,8 @@
     async def _async_wait(self, limit_s: float) -> None:
         async with self._changed:
             try:
-                await asyncio.wait_for(self._changed.wait(), limit_s)
+                async with asyncio.timeout(limit_s):
+                    await self._changed.wait()
             except TimeoutError:
                 return
 
--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -35,6 +35,8 @@
 def service_profile(
     sizes: tuple[int, ...] = (6, 3),
     shares: tuple[float, ...] = (0.67, 0.33),
+    load_s: float = 3,
+    warm_s: float = 0.4,
 ) -> ServiceProfile:
     """Return a service with one model a size."""
     return ServiceProfile(
@@ -43,7 +45,7 @@
             slots=13,
             kv_tokens=1000000,
             models=tuple(
-                ModelProfile(f'm{size}', size, share, 1, 3, 0.4)
+                ModelProfile(f'm{size}', size, share, 1, load_s, warm_s)
                 for size, share in zip(sizes, shares, strict=True)
             ),
             step_s=0.00645,
@@ -108,7 +110,7 @@
                 joined.rank,
                 state,
             )
-        model = joined.model if joined else self.last_model
+        model = joined.model if joined else ''
         return EngineRecord(
             engine=self.engine,
             service='llm',
@@ -345,11 +347,13 @@
         self._check_two(engine, order)
         engine.epoch_seen = order.epoch
         last = joined.model if joined else engine.last_model
-        wait_s = 3.0
+        profile = self.service.engine
+        model = None if profile is None else profile.model(order.model)
+        wait_s = 0.0 if model is None else model.load_s
         if last == order.model:
             wait_s = 0.2
-        elif engine.staged == order.model:
-            wait_s = 0.4
+        elif model is not None and engine.staged == order.model:
+            wait_s = model.warm_s
         engine.staged = order.model
         engine.joined = _Joined(
             order.replica,
--- /dev/null
+++ b/tests/test_timing.py
@@ -0,0 +1,34 @@
+"""Waiting for an event."""
+
+import asyncio
+import unittest
+
+from yuccavalve.timing import async_wait
+
+
+class WaitTest(unittest.IsolatedAsyncioTestCase):
+    """A loop that waits for an event again and again."""
+
+    async def test_says_whether_the_event_came(self) -> None:
+        event = asyncio.Event()
+        self.assertFalse(await async_wait(event, 0.01))
+        event.set()
+        self.assertTrue(await async_wait(event, 5))
+
+    async def test_cancellation_as_the_event_is_set_is_kept(self) -> None:
+        event = asyncio.Event()
+
+        async def async_loop() -> None:
+            while True:
+                await async_wait(event, 5)
+                event.clear()
+
+        loop = asyncio.create_task(async_loop())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        event.set()
+        await asyncio.sleep(0)
+        loop.cancel()
+        done, _ = await asyncio.wait((loop,), timeout=5)
+        self.assertTrue(done)
+        self.assertTrue(loop.cancelled())
--- a/yuccavalve/adapters/backend.py
+++ b/yuccavalve/adapters/backend.py
@@ -133,7 +133,8 @@
         size_bytes = 0
         while True:
             try:
-                part = await asyncio.wait_for(self.async_read(), idle_s)
+                async with asyncio.timeout(idle_s):
+                    part = await self.async_read()
             except TimeoutError as error:
                 raise BackendLostError('body went silent') from error
             if not part:
--- a/yuccavalve/adapters/http.py
+++ b/yuccavalve/adapters/http.py
@@ -95,10 +95,8 @@
         url = f'http://{address}{path}'
         encoded = json.dumps(body).encode()
         try:
-            return await asyncio.wait_for(
-                self._async_exchange(url, encoded, limit_s),
-                limit_s,
-            )
+            async with asyncio.timeout(limit_s):
+                return await self._async_exchange(url, encoded, limit_s)
         except (ConnectionRefusedError, ConnectTimeout) as error:
             raise CallFailedError(repr(error), sent=False) from error
         except EXCHANGE_ERRORS as error:
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -1,12 +1,11 @@
 """Plan replicas while this daemon holds the lease."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 from absl import logging
 
-from yuccavalve.daemon.gateway_loops import EngineLoop
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.daemon.lease_loop import LeaseLoop
 from yuccavalve.formation import (
@@ -16,17 +15,19 @@
     ReplicaHealth,
 )
 from yuccavalve.formation.const import (
-    BEAT_LATE_S,
     DEAD_S,
     NEWCOMER_S,
     PROBE_AGAIN_S,
     PROBE_HEDGE_S,
+    PROBE_STRUCK_S,
     SLOW_FACTOR,
     SLOW_TRUST_S,
+    STEP_LEAST_S,
     STEP_S,
 )
 from yuccavalve.ports.fleet import EngineRecord, EngineReport, OrderOutcome
 from yuccavalve.routing import ServiceProfile
+from yuccavalve.timing import async_wait
 
 __all__ = ('FormationDuty',)
 
@@ -34,16 +35,24 @@
 _MS = 1000
 
 
+@attrs.frozen
+class _Death:
+    """An engine's life that did not answer, and until when that counts."""
+
+    born_ms: int
+    until_s: float
+
+
 @attrs.define
 class FormationDuty:
     """Feeds the book with what is seen and carries its orders out."""
 
     node: GatewayNode
     lease: LeaseLoop
-    engines: EngineLoop
     _books: dict[str, FormationBook] = attrs.field(factory=dict)
     _term: int = 0
-    _dead_until_s: dict[str, float] = attrs.field(factory=dict)
+    _dead: dict[str, _Death] = attrs.field(factory=dict)
+    _unsure: set[str] = attrs.field(factory=set)
     _probed_at_s: dict[str, float] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -51,14 +60,20 @@
     async def async_run(self) -> None:
         """Step until cancelled."""
         while True:
-            await asyncio.sleep(STEP_S)
+            await self._async_pause()
             try:
                 self._step()
             except Exception:
                 logging.exception('event=planner_step_failed')
 
+    async def _async_pause(self) -> None:
+        """Wait for the next step, or until something has changed."""
+        changed = self.node.engines_changed
+        await asyncio.sleep(STEP_LEAST_S)
+        await async_wait(changed, STEP_S - STEP_LEAST_S)
+        changed.clear()
+
     def _step(self) -> None:
-        self.engines.forming = False
         table = self.node.routing.table
         condition = self.lease.lease.term_condition
         if table is None or condition is None or not self.lease.is_held():
@@ -79,10 +94,10 @@
             book.start_term(self._term)
             self._books[service.name] = book
         facts = self._facts(service, now_s)
-        self._probe(self._suspects(facts, now_s), now_s)
+        self._forget_deaths(now_s)
+        self._probe(self._suspects(facts), now_s)
         for task in book.step(facts, now_s):
             self._spawn(self._async_order(book, task))
-        self.engines.forming = self.engines.forming or bool(book.forming)
 
     def _facts(self, service: ServiceProfile, now_s: float) -> FormationInput:
         view = self.node.view
@@ -105,7 +120,7 @@
             engines=mine,
             unlisted=unlisted,
             departed=frozenset(view.departed & unlisted.keys()),
-            dead=_until(self._dead_until_s, now_s),
+            dead=self._dead_engines(mine, now_s),
             slow=_until(self._slow_until_s, now_s),
             strikes=strikes,
             settled=view.is_settled(now_s),
@@ -113,54 +128,95 @@
             newcomer=now_s - view.first_read_at_s < NEWCOMER_S,
         )
 
+    def _forget_deaths(self, now_s: float) -> None:
+        self._dead = {
+            engine: death
+            for engine, death in self._dead.items()
+            if now_s < death.until_s
+        }
+
+    def _dead_engines(
+        self,
+        listed: Mapping[str, EngineRecord],
+        now_s: float,
+    ) -> frozenset[str]:
+        """Return engines that did not answer in the life that they are in."""
+        return frozenset(
+            engine
+            for engine, death in self._dead.items()
+            if now_s < death.until_s
+            and (
+                engine not in listed or listed[engine].born_ms == death.born_ms
+            )
+        )
+
     def _suspects(
         self,
         facts: FormationInput,
-        now_s: float,
-    ) -> Iterable[EngineRecord]:
-        """Return engines that may be dead.
+    ) -> Iterator[tuple[EngineRecord, float]]:
+        """Yield engines that may be dead, with the pause between probes.
 
-        Those are members of replicas that stand still, engines whose
-        records are not renewed in time, and those that are listed no more.
+        Those are members of replicas that stand still and the spares of
+        their domains, which may have to replace them; engines that left an
+        order unanswered; and those that are listed no more.
         """
-        stalled = {
-            facts.engines[head].membership.epoch
+        heads = [
+            facts.engines[head]
             for head in facts.strikes
-            if head in facts.engines and facts.engines[head].membership
-        }
+            if head in facts.engines
+        ]
+        epochs = {head.membership.epoch for head in heads if head.membership}
+        domains = {head.fabric_domain for head in heads}
         for record in facts.engines.values():
             membership = record.membership
-            age_s = self.node.view.beat_age_s(record.engine, now_s)
-            late = facts.settled and age_s > BEAT_LATE_S
-            if late or (membership and membership.epoch in stalled):
-                yield record
-            elif record.engine in self._dead_until_s:
-                self._dead_until_s.pop(record.engine)
-        yield from facts.unlisted.values()
-
-    def _probe(self, suspects: Iterable[EngineRecord], now_s: float) -> None:
-        for record in suspects:
+            struck = (
+                record.fabric_domain in domains
+                if membership is None
+                else membership.epoch in epochs
+            )
+            if struck:
+                yield record, PROBE_STRUCK_S
+            elif record.engine in self._unsure or record.engine in self._dead:
+                yield record, PROBE_AGAIN_S
+        for unlisted in facts.unlisted.values():
+            yield unlisted, PROBE_AGAIN_S
+
+    def _probe(
+        self,
+        suspects: Iterable[tuple[EngineRecord, float]],
+        now_s: float,
+    ) -> None:
+        for record, pause_s in suspects:
             probed_at_s = self._probed_at_s.get(record.engine, _NEVER_S)
-            if now_s - probed_at_s >= PROBE_AGAIN_S:
+            if now_s - probed_at_s >= pause_s:
                 self._probed_at_s[record.engine] = now_s
+                self._unsure.discard(record.engine)
                 self._spawn(self._async_probe(record))
 
     async def _async_probe(self, record: EngineRecord) -> None:
         report = await self._async_report(record)
         now_s = self.node.clock.now_s()
         if report is not None:
-            self._dead_until_s.pop(record.engine, None)
+            self._dead.pop(record.engine, None)
             self._note_slowness(record.engine, report.slowness, now_s)
             return
         self.node.view.forget(record.engine)
-        if record.engine not in self._dead_until_s:
+        self._note_dead(record, now_s, 'no answer to a probe')
+
+    def _note_dead(
+        self,
+        record: EngineRecord,
+        now_s: float,
+        cause: str,
+    ) -> None:
+        if record.engine not in self._dead:
             logging.warning(
-                'event=engine_unresponsive engine=%s beat_age_ms=%d',
+                'event=engine_unresponsive engine=%s cause=%r',
                 record.engine,
-                min(DEAD_S, self.node.view.beat_age_s(record.engine, now_s))
-                * _MS,
+                cause,
             )
-        self._dead_until_s[record.engine] = now_s + DEAD_S
+        self._dead[record.engine] = _Death(record.born_ms, now_s + DEAD_S)
+        self.node.engines_changed.set()
 
     def _note_slowness(
         self,
@@ -210,8 +266,11 @@
             (now_s - sent_at_s) * _MS,
         )
         if outcome is OrderOutcome.NOT_REACHED:
-            self._dead_until_s[task.engine.engine] = now_s + DEAD_S
+            self._note_dead(task.engine, now_s, 'connection refused')
+        elif outcome is OrderOutcome.UNKNOWN:
+            self._unsure.add(task.engine.engine)
         book.note(task, outcome)
+        self.node.engines_changed.set()
 
     def _spawn(self, work) -> None:  # type: ignore[no-untyped-def]
         task = asyncio.create_task(work)
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -9,12 +9,12 @@
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.exceptions import FeedHistoryLostError, StoreUnavailableError
 from yuccavalve.fleet.const import (
-    ENGINE_POLL_FORMING_S,
+    ENGINE_GATHER_S,
     ENGINE_POLL_S,
+    ENGINE_WAIT_S,
     FEED_RETRY_OTHERS_S,
     FEED_RETRY_S,
     RELAY_CHECK_S,
-    RELAY_OWN_POLL_S,
     ROUTING_WAIT_S,
     STALL_CHECK_S,
 )
@@ -76,7 +76,6 @@
     """Reads the changes of the engine list, unless others tell them."""
 
     node: GatewayNode
-    forming: bool = False
     _whole_due: bool = True
     _plans: bool = False
     _dependency: Dependency = attrs.field(
@@ -101,9 +100,14 @@
                 await _async_pause_after_failure(self.node)
             else:
                 self._dependency.note_answer()
-                await asyncio.sleep(
-                    jittered(self.node.random, self._period_s()),
-                )
+                await self._async_pause()
+
+    async def _async_pause(self) -> None:
+        """Wait until the next reading; the planner waits at the feed."""
+        pause_s = ENGINE_POLL_S
+        if self.node.book.plans:
+            pause_s = ENGINE_GATHER_S
+        await asyncio.sleep(jittered(self.node.random, pause_s))
 
     def _note_role(self) -> None:
         """Have all records read by a daemon that begins to plan.
@@ -115,24 +119,19 @@
             self._whole_due = True
         self._plans = self.node.book.plans
 
-    def _period_s(self) -> float:
-        """Return the pause until the next reading; the planner's is short."""
-        if self.forming:
-            return ENGINE_POLL_FORMING_S
-        if self.node.book.plans:
-            return ENGINE_POLL_S
-        return RELAY_OWN_POLL_S
-
     async def _async_turn(self) -> None:
         view = self.node.view
         feed = self.node.ports.engine_feed
         if self._whole_due:
             news = await feed.async_read()
         else:
-            news = await feed.async_changes(view.version)
+            wait_s = ENGINE_WAIT_S if self.node.book.plans else 0
+            news = await feed.async_changes(view.version, wait_s)
         self._whole_due = False
         view.apply(news, self.node.clock.now_s())
         self.node.note_engines()
+        if news.records:
+            self.node.engines_changed.set()
 
 
 async def _async_pause_after_failure(node: GatewayNode) -> None:
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -72,7 +72,15 @@
 
 @attrs.define
 class GatewayNode:
-    """Everything that the loops of a gateway daemon share."""
+    """Everything that the loops of a gateway daemon share.
+
+    Attributes
+    ----------
+    urgent
+        Set when other daemons should hear news at once.
+    engines_changed
+        Set when the planner should look at the engines at once.
+    """
 
     settings: GatewaySettings
     ports: GatewayPorts
@@ -88,6 +96,7 @@
     desk: EntryDesk
     hubs: HubRanking
     urgent: asyncio.Event = attrs.field(factory=asyncio.Event)
+    engines_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def serves_as_hub(self) -> bool:
         """Tell whether others may count on this daemon as their hub."""
--- a/yuccavalve/daemon/gateway_peers.py
+++ b/yuccavalve/daemon/gateway_peers.py
@@ -17,7 +17,7 @@
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.peers.messages import unpack_document
 from yuccavalve.ports import Transaction, Write
-from yuccavalve.timing import jittered
+from yuccavalve.timing import async_wait, jittered
 
 __all__ = ('MemberLoop', 'ShareLoop')
 
@@ -57,12 +57,9 @@
         """Wait for the next turn, or for news that can't wait for it."""
         node = self.node
         period_s = jittered(node.random, node.share_period_s())
+        if await async_wait(node.urgent, period_s):
+            await asyncio.sleep(SHARE_URGENT_PAUSE_S)
         node.urgent.clear()
-        try:
-            await asyncio.wait_for(node.urgent.wait(), period_s)
-        except TimeoutError:
-            return
-        await asyncio.sleep(SHARE_URGENT_PAUSE_S)
 
     async def _async_round(self) -> None:
         node = self.node
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -60,7 +60,6 @@
         self._node = node
         self._members = MemberLoop(node)
         self._lease = LeaseLoop(node)
-        self._engines = EngineLoop(node)
         self._signals: asyncio.Queue[int] = asyncio.Queue()
         self._servers: list[HttpServer] = []
         self._peer_server: PeerServer | None = None
@@ -115,12 +114,12 @@
         node = self._node
         return [
             RoutingLoop(node).async_run(),
-            self._engines.async_run(),
+            EngineLoop(node).async_run(),
             self._members.async_run(),
             ShareLoop(node).async_run(),
             StallLoop(node).async_run(),
             self._lease.async_run(),
-            FormationDuty(node, self._lease, self._engines).async_run(),
+            FormationDuty(node, self._lease).async_run(),
         ]
 
     async def _async_listen(self) -> None:
--- a/yuccavalve/fleet/const.py
+++ b/yuccavalve/fleet/const.py
@@ -2,22 +2,24 @@
 
 from typing import Final
 
-# Reading the engine list. An engine that leaves must get no new work within
-# the platform's drain bound of about 2 s, so several readings fit into it.
-ENGINE_POLL_S: Final = 0.4
+# Wait of the planner's call to the engines' feed: a connection can go silent
+# for good, and what the others are told should not be older than this.
+ENGINE_WAIT_S: Final = 0.5
+# Pause after a change, so that what changes together is read together.
+ENGINE_GATHER_S: Final = 0.04
+# Pause between readings of another daemon that is told nothing. An engine
+# that leaves must get no new work within the platform's drain bound of about
+# 2 s, so several readings fit into it.
+ENGINE_POLL_S: Final = 0.5
 # Age of what the planner tells of engines and routes from which a hub reads
 # the store itself, and of what a hub tells from which one that follows it
-# does. Usual are up to 0.8 s and 1.1 s: the planner's pause between readings
+# does. Usual are up to 0.8 s and 1.1 s: the planner's wait at the feed
 # and one or two pauses between exchanges. With a reading of their own all are
 # within the bounds of about 2 s for engines that leave and for routes.
 HUB_STALE_S: Final = 1.0
 RELAY_STALE_S: Final = 1.4
-# Pause between readings of a daemon that does not plan.
-RELAY_OWN_POLL_S: Final = 0.8
 # Period of the check whether a hub's news is still fresh.
 RELAY_CHECK_S: Final = 0.1
-# While replicas form, members' states decide the next step.
-ENGINE_POLL_FORMING_S: Final = 0.12
 # Pause after a failed reading, of a hub and of others.
 FEED_RETRY_S: Final = 0.3
 FEED_RETRY_OTHERS_S: Final = 1.5
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -152,10 +152,6 @@
         """Return a record by the engine's id."""
         return self._records.get(engine)
 
-    def beat_age_s(self, engine: str, now_s: float) -> float:
-        """Return how long ago an engine's record was last renewed."""
-        return now_s - self._beat_at_s.get(engine, _NEVER_S)
-
     def is_listed(self, engine: str) -> bool:
         """Tell whether the store lists an engine now."""
         return engine in self._records and engine not in self._missing_since_s
--- a/yuccavalve/formation/book.py
+++ b/yuccavalve/formation/book.py
@@ -17,27 +17,20 @@
 from absl import logging
 
 from yuccavalve.formation.adopt import adopted
-from yuccavalve.formation.choose import (
-    choose_donor,
-    choose_replica,
-    choose_stages,
-)
+from yuccavalve.formation.choose import choose_donor
 from yuccavalve.formation.const import (
-    EPOCHS_PER_TERM,
     LINGER_S,
     ORDER_AGAIN_S,
     RECORD_LAG_S,
+    SETTLE_S,
     SHORTAGE_S,
-    SPARE_SETTLE_S,
 )
 from yuccavalve.formation.facts import (
-    cold_members,
     model_of,
     replicas_of,
     usable_engines,
 )
 from yuccavalve.formation.health import ReplicaHealth
-from yuccavalve.formation.loads import WeightLoads
 from yuccavalve.formation.models import (
     Ending,
     FormationInput,
@@ -45,6 +38,7 @@
     OrderTask,
     ReplicaFacts,
 )
+from yuccavalve.formation.recruit import Recruiter
 from yuccavalve.ports.fleet import (
     EngineRecord,
     GroupOrder,
@@ -52,7 +46,6 @@
     MemberState,
     OrderOutcome,
 )
-from yuccavalve.routing import ModelProfile
 
 __all__ = ('FormationBook',)
 
@@ -75,12 +68,11 @@
     health: ReplicaHealth
     forming: dict[str, Forming] = attrs.field(factory=dict)
     _term: int = 0
-    _epochs: int = 0
     _leaving: dict[str, Ending] = attrs.field(factory=dict)
     _left_at_s: dict[str, float] = attrs.field(factory=dict)
     _unreached_at_s: dict[str, float] = attrs.field(factory=dict)
     _sent_at_s: dict[tuple[str, str, str], float] = attrs.field(factory=dict)
-    _loads: WeightLoads = attrs.field(factory=WeightLoads)
+    _recruiter: Recruiter = attrs.field(factory=Recruiter)
     _engines: frozenset[str] = frozenset()
     _changed_at_s: float = 0
     _short_since_s: float = 0
@@ -89,19 +81,17 @@
     def start_term(self, term: int) -> None:
         """Begin with an empty book under a new term."""
         self._term = term
-        self._epochs = 0
         self.forming.clear()
         self._leaving.clear()
         self._left_at_s.clear()
         self._unreached_at_s.clear()
         self._sent_at_s.clear()
+        self._recruiter.start_term(term)
 
     def step(self, facts: FormationInput, now_s: float) -> list[OrderTask]:
         """Return the orders to give now."""
         self._now_s = now_s
         self.health.note(facts, now_s)
-        self._loads.note(facts, now_s)
-        facts = attrs.evolve(facts, staging=self._loads.staging())
         self._note_engines(facts, now_s)
         replicas = replicas_of(facts)
         self._adopt(facts, replicas, now_s)
@@ -113,9 +103,15 @@
             taken.update(_headless(replicas))
         counts = self._counts(facts, replicas)
         self._rebalance(facts, replicas, counts, taken, now_s)
-        self._form(facts, counts, taken, now_s)
-        tasks = [*self._leave_tasks(facts), *self._forming_tasks(facts)]
-        tasks.extend(self._stage_tasks(facts, taken, now_s))
+        warming = self._recruiter.warmups.models()
+        facts = attrs.evolve(facts, warming=warming)
+        if facts.started or now_s - self._changed_at_s >= SETTLE_S:
+            self._recruit(facts, replicas, counts, taken)
+        tasks = [
+            *self._leave_tasks(facts),
+            *self._forming_tasks(facts),
+            *self._recruiter.warmups.tasks(facts, self._term),
+        ]
         return [task for task in tasks if self._is_due(task, now_s)]
 
     def note(self, task: OrderTask, outcome: OrderOutcome) -> None:
@@ -317,28 +313,18 @@
         )
         self._leaving[chosen.replica] = chosen.ending()
 
-    def _form(
+    def _recruit(
         self,
         facts: FormationInput,
+        replicas: Mapping[str, ReplicaFacts],
         counts: dict[str, int],
         taken: set[str],
-        now_s: float,
     ) -> None:
-        if now_s - self._changed_at_s < SPARE_SETTLE_S:
-            return
-        while True:
-            usable = usable_engines(facts, taken)
-            chosen = choose_replica(facts, usable, counts)
-            if chosen is None or self._epochs >= EPOCHS_PER_TERM:
-                return
-            model, members = chosen
-            cold = cold_members(members, model.name)
-            if not self._loads.may_start(facts, cold, now_s):
-                return
-            self._loads.start(cold, now_s)
-            self._begin(model, members, now_s, cold)
-            taken.update(record.engine for record in members)
-            counts[model.name] += 1
+        """Begin to form replicas, and to warm engines for the next ones."""
+        recruiter = self._recruiter
+        for forming in recruiter.form(facts, counts, taken, self._now_s):
+            self.forming[forming.replica] = forming
+        recruiter.warm(facts, replicas, counts, taken, self._now_s)
 
     def _counts(
         self,
@@ -357,36 +343,6 @@
                 counts[model.name] += 1
         return counts
 
-    def _begin(
-        self,
-        model: ModelProfile,
-        members: list[EngineRecord],
-        now_s: float,
-        cold: int,
-    ) -> None:
-        self._epochs += 1
-        epoch = self._term * EPOCHS_PER_TERM + self._epochs
-        expected_s = model.load_s if cold else model.warm_s
-        forming = Forming.of(
-            f'r{epoch}',
-            epoch,
-            model,
-            members,
-            now_s,
-            expected_s,
-        )
-        self.forming[forming.replica] = forming
-        logging.info(
-            'event=replica_forming replica=%s epoch=%d model=%s domain=%s '
-            'cold=%d members=%s',
-            forming.replica,
-            epoch,
-            model.name,
-            members[0].fabric_domain,
-            cold,
-            ','.join(forming.members),
-        )
-
     def _leave_tasks(self, facts: FormationInput) -> Iterator[OrderTask]:
         for replica in self._leaving.values():
             record = facts.engines.get(replica.head) or facts.unlisted.get(
@@ -451,27 +407,6 @@
             ),
         )
 
-    def _stage_tasks(
-        self,
-        facts: FormationInput,
-        taken: set[str],
-        now_s: float,
-    ) -> Iterator[OrderTask]:
-        if now_s - self._changed_at_s < SPARE_SETTLE_S:
-            return
-        facts = attrs.evolve(facts, staging=self._loads.staging())
-        usable = usable_engines(facts, taken)
-        for record, model in choose_stages(facts, usable):
-            if not self._loads.may_start(facts, 1, now_s):
-                return
-            self._loads.stage(record.engine, model.name, model.load_s, now_s)
-            order = GroupOrder(
-                GroupOrderKind.STAGE,
-                model=model.name,
-                term=self._term,
-            )
-            yield OrderTask(record, order)
-
     def _is_due(self, task: OrderTask, now_s: float) -> bool:
         """Tell whether an order was not given a moment ago."""
         order = task.order
--- a/yuccavalve/formation/choose.py
+++ b/yuccavalve/formation/choose.py
@@ -1,18 +1,28 @@
-"""Choose what replica to form next and what spares hold."""
+"""Choose what replicas to form next and what spares to warm."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from yuccavalve.formation.const import (
     BALANCE_MARGIN,
     SCARCE_REPLICAS,
     SLOW_PENALTY_S,
+    TAKEOVER_PENALTY_S,
+)
+from yuccavalve.formation.facts import (
+    cold_members,
+    domain_of,
+    held_model,
+    model_of,
 )
-from yuccavalve.formation.facts import cold_members, model_of
 from yuccavalve.formation.models import FormationInput, ReplicaFacts
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.routing import ModelProfile
 
-__all__ = ('choose_donor', 'choose_replica', 'choose_stages')
+__all__ = (
+    'choose_donor',
+    'choose_next',
+    'choose_ready',
+)
 
 _LEAST_SHARE = 0.01
 
@@ -20,7 +30,27 @@
 Chosen = tuple[ModelProfile, list[EngineRecord]]
 
 
-def choose_replica(
+def choose_ready(
+    facts: FormationInput,
+    usable: Domains,
+    counts: Mapping[str, int],
+) -> Chosen | None:
+    """Return the model and members of a replica that needs no load.
+
+    Engines that hold a model are of no use to another one without a load,
+    so only a model that has far too few replicas is left the engines that
+    it could take over.
+    """
+    models = _by_need(facts, counts)
+    for model in models:
+        left = _without_needed(usable, model, models[0], counts)
+        members = _best_members(facts, left, model)
+        if members and not cold_members(members, model.name):
+            return model, members
+    return None
+
+
+def choose_next(
     facts: FormationInput,
     usable: Domains,
     counts: Mapping[str, int],
@@ -33,48 +63,20 @@
     engines that are still missing for the first are not taken from it.
     Members come from one fabric domain.
     """
-    profile = facts.service.engine
-    if profile is None:
+    models = _by_need(facts, counts)
+    if not models:
         return None
-    models = sorted(
-        profile.models,
-        key=lambda model: (_coverage(model, counts), -model.size),
-    )
     most = _coverage_after(models[0], counts)
-    largest = max(model.size for model in models)
     for model in models:
         ahead = _coverage_after(model, counts) > most * BALANCE_MARGIN
         if ahead and counts[model.name] >= SCARCE_REPLICAS:
             continue
-        members = _best_members(facts, usable, model, largest)
+        members = _best_members(facts, usable, model)
         if members:
             return model, members
     return None
 
 
-def _best_members(
-    facts: FormationInput,
-    usable: Domains,
-    model: ModelProfile,
-    largest: int,
-) -> list[EngineRecord]:
-    """Return the engines that form a replica soonest; none if none can."""
-    fitting = [
-        _members(facts, records, model)
-        for records in usable.values()
-        if len(records) >= model.size
-    ]
-    return min(
-        fitting,
-        default=[],
-        key=lambda members: (
-            cold_members(members, model.name),
-            _spoilt(len(usable[members[0].fabric_domain]), model, largest),
-            members[0].fabric_domain,
-        ),
-    )
-
-
 def choose_donor(
     facts: FormationInput,
     replicas: Mapping[str, ReplicaFacts],
@@ -83,8 +85,8 @@
 ) -> ReplicaFacts | None:
     """Return a replica to give up so that another model can form one.
 
-    The other model must have less than half as many replicas even with one
-    more, or none, and the donor's model must keep at least one.
+    The other model must have far too few, and the donor's model must keep at
+    least one.
     """
     profile = facts.service.engine
     if profile is None:
@@ -94,56 +96,80 @@
         model = model_of(facts, replica)
         if not replica.is_open or model is None or model == needy:
             continue
-        free = usable.get(_domain_of(facts, replica), ())
+        free = usable.get(domain_of(facts, replica), ())
         fits = len(free) + len(replica.members) >= needy.size
-        if fits and _is_unequal(counts[needy.name], counts[model.name]):
+        if fits and _is_short(needy, model, counts):
             return replica
     return None
 
 
-def _is_unequal(needy: int, donor: int) -> bool:
-    if needy == 0:
-        return donor > 1
-    return (needy + 1) * 2 <= donor
-
-
-def _domain_of(facts: FormationInput, replica: ReplicaFacts) -> str:
-    """Return the fabric domain of a replica's first engine."""
-    record = facts.engines.get(replica.head)
-    return '' if record is None else record.fabric_domain
+def _by_need(
+    facts: FormationInput,
+    counts: Mapping[str, int],
+) -> list[ModelProfile]:
+    profile = facts.service.engine
+    models = () if profile is None else profile.models
+    return sorted(
+        models,
+        key=lambda model: (_coverage(model, counts), -model.size),
+    )
 
 
-def choose_stages(
+def _best_members(
     facts: FormationInput,
     usable: Domains,
-) -> Iterator[tuple[EngineRecord, ModelProfile]]:
-    """Yield spares that hold no model yet and the model each should stage.
+    model: ModelProfile,
+) -> list[EngineRecord]:
+    """Return the engines that form a replica soonest; none if none can."""
+    fitting = [
+        _members(facts, records, model)
+        for records in usable.values()
+        if len(records) >= model.size
+    ]
+    profile = facts.service.engine
+    sizes = [] if profile is None else [each.size for each in profile.models]
+    largest = max(sizes, default=model.size)
+    return min(
+        fitting,
+        default=[],
+        key=lambda members: (
+            cold_members(members, model.name),
+            _spoilt(len(usable[members[0].fabric_domain]), model, largest),
+            members[0].fabric_domain,
+        ),
+    )
+
+
+def _is_short(
+    needy: ModelProfile,
+    other: ModelProfile,
+    counts: Mapping[str, int],
+) -> bool:
+    """Tell whether a model has far too few replicas against another.
 
-    The largest model is staged first in each domain: it has the most
-    members, so the next engine that dies is likely one of its.
+    That is when it would have less than half of the other's for its share
+    of the work even with one more, or when it has none.
     """
-    profile = facts.service.engine
-    if profile is None:
-        return
-    by_size = sorted(profile.models, key=lambda model: -model.size)
-    for records in usable.values():
-        held = _held(facts, records)
-        bare = [each for each in records if not _held(facts, (each,))]
-        for record in bare:
-            lacking = [model for model in by_size if model.name not in held]
-            chosen = (lacking or by_size)[0]
-            held.add(chosen.name)
-            yield record, chosen
-
-
-def _held(
-    facts: FormationInput,
-    records: Sequence[EngineRecord],
-) -> set[str]:
-    """Return the models that engines hold staged, or are staging."""
-    held = {name for record in records for name in record.staged}
-    under_way = (facts.staging.get(record.engine) for record in records)
-    return held.union(name for name in under_way if name)
+    if not counts[needy.name]:
+        return counts[other.name] > 1
+    return _coverage_after(needy, counts) * 2 <= _coverage(other, counts)
+
+
+def _without_needed(
+    usable: Domains,
+    model: ModelProfile,
+    needy: ModelProfile,
+    counts: Mapping[str, int],
+) -> Domains:
+    """Return the domains where a model may form without harm to another."""
+    after = {**counts, model.name: counts[model.name] + 1}
+    if model == needy or not _is_short(needy, model, after):
+        return usable
+    return {
+        domain: records
+        for domain, records in usable.items()
+        if not len(records) - model.size < needy.size <= len(records)
+    }
 
 
 def _coverage(model: ModelProfile, counts: Mapping[str, int]) -> float:
@@ -181,14 +207,17 @@
 ) -> float:
     """Return how long an engine takes to join.
 
-    One that is staging another model ends that first. A slow one, which
-    would slow the whole replica down, comes after all others.
+    One that is loading another model ends that first, and one that holds
+    another model is of use to that. A slow one, which would slow the whole
+    replica down, comes after all others.
     """
     penalty_s = SLOW_PENALTY_S * (record.engine in facts.slow)
     if model.name in record.models:
         return penalty_s
     if model.name in record.staged:
         return penalty_s + model.warm_s
-    staging = facts.staging.get(record.engine, '')
-    loads = 1 + (staging not in {'', model.name})
-    return penalty_s + model.load_s * loads
+    if facts.warming.get(record.engine) == model.name:
+        return penalty_s + model.load_s
+    if facts.warming.get(record.engine) or held_model(facts, record):
+        penalty_s += TAKEOVER_PENALTY_S
+    return penalty_s + model.load_s
--- a/yuccavalve/formation/const.py
+++ b/yuccavalve/formation/const.py
@@ -2,47 +2,56 @@
 
 from typing import Final
 
-# Period of the planner's steps.
+# Pause between the planner's steps, and the least after a change.
 STEP_S: Final = 0.1
+STEP_LEAST_S: Final = 0.02
 # Time after which an order without an effect is given again.
 ORDER_AGAIN_S: Final = 0.7
 ORDER_TIMEOUT_S: Final = 0.6
-REPORT_TIMEOUT_S: Final = 0.35
+# Engines answer reports without a slot, within a few milliseconds.
+REPORT_TIMEOUT_S: Final = 0.2
 # Replicas that take this many times their expected time to form, and a
 # margin, are given up.
 FORMING_FACTOR: Final = 2.5
 FORMING_MARGIN_S: Final = 3.0
-# An engine whose record was not renewed for this long is probed; engines
-# renew their records about every 1.2 s.
-BEAT_LATE_S: Final = 1.9
-# Pause between probes of the same engine.
+# Pause between probes of the same engine, and of one whose replica stands
+# still.
 PROBE_AGAIN_S: Final = 0.8
-# How long an engine that did not answer a probe counts as dead, unless its
-# record is renewed.
+PROBE_STRUCK_S: Final = 0.4
+# How long an engine that did not answer a probe counts as dead, unless it
+# answers another or starts again; its record lapses before.
 DEAD_S: Final = 6.0
-# Epochs that one term of the planner may hand out.
-EPOCHS_PER_TERM: Final = 1000
+# Epochs that one term of the planner may hand out: more than it uses in a
+# year at one a minute.
+EPOCHS_PER_TERM: Final = 1000000
 # Time before its end at which a draining engine's replica is given up when
 # no spare is ready.
 DRAIN_MARGIN_S: Final = 0.6
 # Part of the weight store's rate that is used.
 LOAD_RATE_PART: Final = 0.8
 LOAD_WINDOW_S: Final = 5.0
-# Spares are staged, and replicas formed, only once no engine was added for
-# this long, since others may follow that fit better.
-SPARE_SETTLE_S: Final = 0.8
+# Before callers' requests have begun, replicas are formed only once no engine
+# was added for this long, since others may follow that fit better.
+SETTLE_S: Final = 0.8
 # A model may be this much further ahead, by engines for its share of the
 # work, than the model that is furthest behind.
 BALANCE_MARGIN: Final = 1.05
 # A probe is sent a second time after this pause, since a lost packet would
 # make a living engine look dead.
-PROBE_HEDGE_S: Final = 0.12
+PROBE_HEDGE_S: Final = 0.08
 # How long a model must have far too few replicas before another's is given up
 # for it; engines that are replaced register again within this time.
 SHORTAGE_S: Final = 2.5
 # A model with fewer replicas than this forms one wherever it fits, since the
 # loss of a single engine would stop it.
 SCARCE_REPLICAS: Final = 2
+# Names of the replicas in which warm spares wait begin so.
+STANDBY_PREFIX: Final = 'standby-'
+# Spares of one model that a domain keeps; more may take over another model.
+SPARES_KEPT: Final = 1
+# Engines that hold another model join only where bare ones would take this
+# much longer: after a load of theirs.
+TAKEOVER_PENALTY_S: Final = 10.0
 # For how long the records of engines may lag behind what they were told.
 RECORD_LAG_S: Final = 1.0
 # An engine counts as slow when its report says that its times are this many
--- a/yuccavalve/formation/facts.py
+++ b/yuccavalve/formation/facts.py
@@ -3,19 +3,31 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
+from yuccavalve.formation.const import STANDBY_PREFIX
 from yuccavalve.formation.models import FormationInput, ReplicaFacts
 from yuccavalve.ports.fleet import EngineRecord, Membership
 from yuccavalve.routing import ModelProfile
 
-__all__ = ('cold_members', 'model_of', 'replicas_of', 'usable_engines')
+__all__ = (
+    'cold_members',
+    'domain_of',
+    'held_model',
+    'is_warm',
+    'model_of',
+    'replicas_of',
+    'usable_engines',
+)
 
 
 def replicas_of(facts: FormationInput) -> dict[str, ReplicaFacts]:
-    """Return replicas by name, as far as any member shows them."""
+    """Return replicas by name, as far as any member shows them.
+
+    Standby replicas, in which spares wait, are none.
+    """
     members: dict[tuple[str, int], dict[str, Membership]] = defaultdict(dict)
     for record in (*facts.unlisted.values(), *facts.engines.values()):
         membership = record.membership
-        if membership is not None:
+        if membership is not None and not _is_standby(membership):
             key = (membership.replica, membership.epoch)
             members[key][record.engine] = membership
     return {
@@ -24,6 +36,10 @@
     }
 
 
+def _is_standby(membership: Membership) -> bool:
+    return membership.replica.startswith(STANDBY_PREFIX)
+
+
 def _head(members: Mapping[str, Membership]) -> str:
     for engine, membership in members.items():
         if membership.rank == 0:
@@ -47,6 +63,26 @@
     return None
 
 
+def domain_of(facts: FormationInput, replica: ReplicaFacts) -> str:
+    """Return the fabric domain of a replica's first engine."""
+    record = facts.engines.get(replica.head)
+    return '' if record is None else record.fabric_domain
+
+
+def held_model(facts: FormationInput, record: EngineRecord) -> str:
+    """Return the model that a spare holds, or is being warmed for."""
+    warming = facts.warming.get(record.engine)
+    profile = facts.service.engine
+    if warming or profile is None:
+        return warming or ''
+    names = [model.name for model in profile.models]
+    for held in (record.models, record.staged):
+        for name in names:
+            if name in held:
+                return name
+    return ''
+
+
 def usable_engines(
     facts: FormationInput,
     taken: set[str],
@@ -61,9 +97,11 @@
     return domains
 
 
+def is_warm(record: EngineRecord, model: str) -> bool:
+    """Tell whether an engine or its host holds a model."""
+    return model in record.models or model in record.staged
+
+
 def cold_members(members: Iterable[EngineRecord], model: str) -> int:
     """Count the engines that must load a model from the weight store."""
-    return sum(
-        model not in record.models and model not in record.staged
-        for record in members
-    )
+    return sum(not is_warm(record, model) for record in members)
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -50,8 +50,8 @@
         Whether an engine that is not listed is surely gone.
     started
         Whether callers' requests have begun.
-    staging
-        Models that engines are staging, by engine.
+    warming
+        Models that spares are being warmed for, by engine.
     slow
         Engines whose reports say that they are slow.
     newcomer
@@ -66,7 +66,7 @@
     strikes: Mapping[str, int] = attrs.field(factory=dict)
     settled: bool = True
     started: bool = True
-    staging: Mapping[str, str] = attrs.field(factory=dict)
+    warming: Mapping[str, str] = attrs.field(factory=dict)
     slow: frozenset[str] = frozenset()
     newcomer: bool = False
 
--- /dev/null
+++ b/yuccavalve/formation/recruit.py
@@ -0,0 +1,143 @@
+"""Begin new replicas, and prepare engines for the next ones."""
+
+from collections.abc import Iterator, Mapping
+
+import attrs
+from absl import logging
+
+from yuccavalve.formation.choose import choose_next, choose_ready
+from yuccavalve.formation.const import EPOCHS_PER_TERM
+from yuccavalve.formation.facts import cold_members, is_warm, usable_engines
+from yuccavalve.formation.loads import WeightLoads
+from yuccavalve.formation.models import FormationInput, Forming, ReplicaFacts
+from yuccavalve.formation.spares import choose_spares
+from yuccavalve.formation.warming import Warmups
+from yuccavalve.ports.fleet import EngineRecord
+from yuccavalve.routing import ModelProfile
+
+__all__ = ('Recruiter',)
+
+
+@attrs.define
+class Recruiter:
+    """Hands out epochs and keeps loads within the weight store's rate.
+
+    Attributes
+    ----------
+    warmups
+        Spares that are being warmed.
+    """
+
+    warmups: Warmups = attrs.field(factory=Warmups)
+    _loads: WeightLoads = attrs.field(factory=WeightLoads)
+    _term: int = 0
+    _epochs: int = 0
+
+    def start_term(self, term: int) -> None:
+        """Begin to hand out the epochs of a new term."""
+        self._term = term
+        self._epochs = 0
+        self.warmups.clear()
+
+    def form(
+        self,
+        facts: FormationInput,
+        counts: dict[str, int],
+        taken: set[str],
+        now_s: float,
+    ) -> Iterator[Forming]:
+        """Yield replicas that begin to form; note what they take.
+
+        While callers' requests come, that is of engines that need no load.
+        Others are warmed first: so the rest of a replica's engines are not
+        bound meanwhile, and stand in for those of others that die.
+        """
+        choose = choose_ready if facts.started else choose_next
+        while self._has_epochs():
+            chosen = choose(facts, usable_engines(facts, taken), counts)
+            if chosen is None:
+                return
+            model, members = chosen
+            yield self._begin(model, members, now_s)
+            taken.update(record.engine for record in members)
+            counts[model.name] += 1
+
+    def warm(
+        self,
+        facts: FormationInput,
+        replicas: Mapping[str, ReplicaFacts],
+        counts: Mapping[str, int],
+        taken: set[str],
+        now_s: float,
+    ) -> None:
+        """Begin to warm engines for the next replicas, then other spares."""
+        reserved = set(taken)
+        planned = dict(counts)
+        wanted: list[tuple[EngineRecord, ModelProfile]] = []
+        while True:
+            usable = usable_engines(facts, reserved)
+            chosen = choose_next(facts, usable, planned)
+            if chosen is None:
+                break
+            model, members = chosen
+            planned[model.name] += 1
+            reserved.update(record.engine for record in members)
+            wanted.extend(
+                (record, model)
+                for record in members
+                if not is_warm(record, model.name)
+            )
+        wanted.extend(choose_spares(facts, usable, replicas))
+        for record, model in wanted:
+            self._begin_warming(facts, record, model, now_s)
+        self.warmups.note(facts, taken, now_s)
+
+    def _begin(
+        self,
+        model: ModelProfile,
+        members: list[EngineRecord],
+        now_s: float,
+    ) -> Forming:
+        cold = cold_members(members, model.name)
+        epoch = self._next_epoch()
+        forming = Forming.of(
+            f'r{epoch}',
+            epoch,
+            model,
+            members,
+            now_s,
+            model.load_s if cold else model.warm_s,
+        )
+        self._loads.start(cold, now_s)
+        logging.info(
+            'event=replica_forming replica=%s epoch=%d model=%s domain=%s '
+            'cold=%d members=%s',
+            forming.replica,
+            epoch,
+            model.name,
+            members[0].fabric_domain,
+            cold,
+            ','.join(forming.members),
+        )
+        return forming
+
+    def _begin_warming(
+        self,
+        facts: FormationInput,
+        record: EngineRecord,
+        model: ModelProfile,
+        now_s: float,
+    ) -> None:
+        loads = int(not is_warm(record, model.name))
+        if facts.warming.get(record.engine) or not self._has_epochs():
+            return
+        if self._loads.may_start(facts, loads, now_s):
+            self._loads.start(loads, now_s)
+            self.warmups.begin(record, model, self._next_epoch(), now_s)
+
+    def _has_epochs(self) -> bool:
+        return self._epochs < EPOCHS_PER_TERM
+
+    def _next_epoch(self) -> int:
+        self._epochs += 1
+        return self._term * EPOCHS_PER_TERM + self._epochs
--- /dev/null
+++ b/yuccavalve/formation/spares.py
@@ -0,0 +1,96 @@
+"""Choose what models the spares of each domain should hold.
+
+The load that this answers: replicas that lose a member every few seconds. One
+that finds a spare with its model serves again within a second, one that does
+not waits for a load of ten and more.
+"""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping, Sequence
+
+from yuccavalve.formation.const import SPARES_KEPT
+from yuccavalve.formation.facts import domain_of, held_model, model_of
+from yuccavalve.formation.models import FormationInput, ReplicaFacts
+from yuccavalve.ports.fleet import EngineRecord
+from yuccavalve.routing import ModelProfile
+
+__all__ = ('choose_spares',)
+
+_Domains = Mapping[str, Sequence[EngineRecord]]
+_Wanted = Iterator[tuple[EngineRecord, ModelProfile]]
+
+
+def choose_spares(
+    facts: FormationInput,
+    usable: _Domains,
+    replicas: Mapping[str, ReplicaFacts],
+) -> _Wanted:
+    """Yield spares that should load a model into memory, and which.
+
+    Bare ones get what their domain lacks most. One that holds a model of
+    which there are spares enough takes over a model of its domain that has
+    none.
+    """
+    serving = _serving_models(facts, replicas)
+    for domain, records in usable.items():
+        yield from _choose_in_domain(facts, records, serving[domain])
+
+
+def _choose_in_domain(
+    facts: FormationInput,
+    records: Sequence[EngineRecord],
+    served: set[str],
+) -> _Wanted:
+    profile = facts.service.engine
+    # The loss of any member stops a replica, so larger ones need more.
+    models = sorted(
+        () if profile is None else profile.models,
+        key=lambda model: -model.size,
+    )
+    held = Counter(held_model(facts, record) for record in records)
+    for record in records:
+        model = _wanted_model(facts, record, models, served, held)
+        if model is None or model.name in record.models:
+            continue
+        held[held_model(facts, record)] -= 1
+        held[model.name] += 1
+        yield record, model
+
+
+def _serving_models(
+    facts: FormationInput,
+    replicas: Mapping[str, ReplicaFacts],
+) -> Mapping[str, set[str]]:
+    """Return the models that each domain serves."""
+    serving: Mapping[str, set[str]] = {
+        record.fabric_domain: set() for record in facts.engines.values()
+    }
+    for replica in replicas.values():
+        model = model_of(facts, replica)
+        domain = domain_of(facts, replica)
+        if model is not None and replica.is_open and domain:
+            serving[domain].add(model.name)
+    return serving
+
+
+def _wanted_model(
+    facts: FormationInput,
+    record: EngineRecord,
+    models: Sequence[ModelProfile],
+    served: set[str],
+    held: Mapping[str, int],
+) -> ModelProfile | None:
+    """Return the model that a spare should hold; None to leave it."""
+    if facts.warming.get(record.engine):
+        return None
+    own = held_model(facts, record)
+    if not own:
+        return min(models, key=lambda model: held[model.name], default=None)
+    lacking = [
+        model
+        for model in models
+        if model.name in served and not held[model.name]
+    ]
+    if lacking and held[own] > SPARES_KEPT:
+        return lacking[0]
+    return next((model for model in models if model.name == own), None)
--- /dev/null
+++ b/yuccavalve/formation/warming.py
@@ -0,0 +1,124 @@
+"""Bring spares into a state from which they join a replica at once.
+
+An engine joins fastest if its last replica had the same model. A spare is
+therefore told to join a standby replica, as its only member, and stays there
+until it is needed. Such a replica is never opened, so it gets no requests.
+"""
+
+from collections.abc import Iterator, Mapping
+
+import attrs
+from absl import logging
+
+from yuccavalve.formation.const import (
+    FORMING_FACTOR,
+    FORMING_MARGIN_S,
+    STANDBY_PREFIX,
+)
+from yuccavalve.formation.models import FormationInput, OrderTask
+from yuccavalve.ports.fleet import (
+    EngineRecord,
+    GroupOrder,
+    GroupOrderKind,
+    MemberState,
+)
+from yuccavalve.routing import ModelProfile
+
+__all__ = ('Warming', 'Warmups')
+
+
+@attrs.frozen
+class Warming:
+    """A spare that is being warmed."""
+
+    engine: str
+    born_ms: int
+    replica: str
+    epoch: int
+    model: str
+    give_up_at_s: float
+
+
+@attrs.define
+class Warmups:
+    """The spares that are being warmed, by engine."""
+
+    _warming: dict[str, Warming] = attrs.field(factory=dict)
+
+    def clear(self) -> None:
+        """Forget all; the records show the spares that are warm."""
+        self._warming.clear()
+
+    def models(self) -> Mapping[str, str]:
+        """Return the models that spares are warmed for, by engine."""
+        return {each.engine: each.model for each in self._warming.values()}
+
+    def begin(
+        self,
+        record: EngineRecord,
+        model: ModelProfile,
+        epoch: int,
+        now_s: float,
+    ) -> None:
+        """Note that a spare is to be warmed from now on."""
+        limit_s = model.load_s * FORMING_FACTOR + FORMING_MARGIN_S
+        warming = Warming(
+            record.engine,
+            record.born_ms,
+            f'{STANDBY_PREFIX}{epoch}',
+            epoch,
+            model.name,
+            now_s + limit_s,
+        )
+        self._warming[record.engine] = warming
+        logging.info(
+            'event=spare_warming engine=%s model=%s replica=%s domain=%s',
+            warming.engine,
+            warming.model,
+            warming.replica,
+            record.fabric_domain,
+        )
+
+    def note(
+        self,
+        facts: FormationInput,
+        taken: set[str],
+        now_s: float,
+    ) -> None:
+        """Forget spares that are warm, gone, or needed in a replica."""
+        self._warming = {
+            engine: each
+            for engine, each in self._warming.items()
+            if engine not in taken
+            and now_s <= each.give_up_at_s
+            and _goes_on(facts, each)
+        }
+
+    def tasks(self, facts: FormationInput, term: int) -> Iterator[OrderTask]:
+        """Yield the orders to give now."""
+        for each in self._warming.values():
+            record = facts.engines[each.engine]
+            membership = record.membership
+            if membership is None or membership.epoch != each.epoch:
+                order = GroupOrder(
+                    GroupOrderKind.JOIN,
+                    each.replica,
+                    each.epoch,
+                    each.model,
+                    (each.engine,),
+                    term,
+                )
+                yield OrderTask(record, order)
+
+
+def _goes_on(facts: FormationInput, warming: Warming) -> bool:
+    record = facts.engines.get(warming.engine)
+    if record is None or record.born_ms != warming.born_ms:
+        return False
+    if record.draining or warming.engine in facts.dead:
+        return False
+    membership = record.membership
+    if membership is None or membership.epoch < warming.epoch:
+        return True
+    joins = membership.state is MemberState.JOINING
+    return membership.epoch == warming.epoch and joins
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -100,8 +100,14 @@
     async def async_read(self) -> EngineChanges:
         """Return all records or raise ``StoreUnavailableError``."""
 
-    async def async_changes(self, version: int) -> EngineChanges:
-        """Return what changed after a version.
+    async def async_changes(
+        self,
+        version: int,
+        wait_s: float = 0,
+    ) -> EngineChanges:
+        """Return what changed after a version, waiting a while for a change.
+
+        Heartbeats are no changes.
 
         Raises
         ------
--- a/yuccavalve/requests/pipeline.py
+++ b/yuccavalve/requests/pipeline.py
@@ -124,10 +124,7 @@
                 entries = self._entries(outcome)
                 await async_respond_outcome(exchange, outcome, entries)
                 if not exchange.body_read.is_set():
-                    await asyncio.wait_for(
-                        _async_discard_body(exchange),
-                        _DISCARD_S,
-                    )
+                    await _async_discard_body(exchange)
         except (OSError, RuntimeError) as error:
             logging.info(
                 'request=%s caller left: %s',
@@ -151,10 +148,11 @@
     """
     size_bytes = 0
     more = True
-    while more and size_bytes < _DISCARD_BYTES:
-        message = await exchange.receive()
-        size_bytes += len(message.get('body', b''))
-        more = message.get('more_body', False)
+    async with asyncio.timeout(_DISCARD_S):
+        while more and size_bytes < _DISCARD_BYTES:
+            message = await exchange.receive()
+            size_bytes += len(message.get('body', b''))
+            more = message.get('more_body', False)
     await async_end_events(exchange)
 
 
