Let hosts hold a second model and engines move to the busier one

Replicas of the larger model went one after the other (6 to 1 in 35 s): each death without a spare left five sound engines idle, or had them load the smaller model, so that the next repair needed a load again. Moves needed a shortage by the stated shares; what callers asked was not looked at. A planner that took over began all loads of spares anew, since engines don't tell what they load.

Change: each host loads the model that its engine does not serve, so that any spare stands in for any member and moves need no load; survivors of a replica are kept for it unless another model is busier; a replica is given up for a busier model when the donors' model stays less busy; the balance goes by requests under way as much as by the stated shares; standby replicas are named after their model; engines of replicas that are ending, and first engines that have left, still count for their model.

--- a/tests/formation/test_book.py
+++ b/tests/formation/test_book.py
@@ -206,6 +206,17 @@
             model.run(0.4, self.book)
         self.assertGreaterEqual(len(model.open_heads('m3')), 2)
 
+    def test_next_planner_goes_on_with_loads(self) -> None:
+        model = self._model(7)
+        model.add('d0', 1)
+        model.run(6, self.book)
+        orders = model.orders
+        book = _book(2)
+        model.run(3, book)
+        self.assertEqual(model.orders, orders)
+        model.run(6, book)
+        self.assertTrue(model.engines['d0-7'].staged)
+
     def test_next_planner_finds_the_spares_warm(self) -> None:
         model = self._model(7)
         orders = model.orders
@@ -217,6 +228,66 @@
         self.assertEqual(len(model.open_heads('m3')), 2)
 
 
+class MoveTest(unittest.TestCase):
+    """Two domains of nine engines: a large and a small replica in each."""
+
+    def setUp(self) -> None:
+        """Form the replicas, and stop the large one of a domain."""
+        self.model = FleetModel(Random(1), service_profile(), started=False)
+        self.model.add('d0', 9)
+        self.model.add('d1', 9)
+        self.book = _book()
+        self.model.run(12, self.book)
+        self.model.started = True
+        self.model.kill(self.model.open_heads('m6')[0].joined.members[2])
+
+    def tearDown(self) -> None:
+        """No promise was broken."""
+        self.assertEqual(self.model.broken_promises, [])
+
+    def _open(self) -> tuple[int, int]:
+        heads = self.model.open_heads
+        return len(heads('m6')), len(heads('m3'))
+
+    def test_engines_move_to_the_busier_model(self) -> None:
+        self.model.running = {'m6': 16, 'm3': 8}
+        self.model.run(6, self.book)
+        self.assertEqual(self._open(), (2, 1))
+
+    def test_they_serve_on_while_they_load(self) -> None:
+        self.model.running = {'m6': 16, 'm3': 8}
+        for _ in range(30):
+            self.model.run(0.2, self.book)
+            self.assertGreaterEqual(sum(self._open()), 2)
+
+    def test_equally_busy_models_keep_their_engines(self) -> None:
+        self.model.running = {'m6': 13, 'm3': 26}
+        kept = {each.joined.epoch for each in self.model.open_heads('m3')}
+        self.model.run(6, self.book)
+        epochs = {each.joined.epoch for each in self.model.open_heads('m3')}
+        self.assertLessEqual(kept, epochs)
+
+    def test_survivors_serve_a_busier_model_meanwhile(self) -> None:
+        self.model.running = {'m6': 13, 'm3': 26}
+        self.model.run(3, self.book)
+        self.assertEqual(self._open(), (1, 3))
+
+    def test_survivors_wait_while_no_model_is_busier(self) -> None:
+        self.model.running = {'m6': 5, 'm3': 1}
+        self.model.run(3, self.book)
+        self.model.add('d0', 1)
+        self.model.add('d1', 1)
+        self.model.run(7, self.book)
+        self.assertEqual(self._open(), (2, 2))
+
+    def test_engines_stay_while_there_is_room(self) -> None:
+        self.model.running = {'m6': 5, 'm3': 1}
+        kept = {each.joined.epoch for each in self.model.open_heads('m3')}
+        self.model.run(6, self.book)
+        epochs = {each.joined.epoch for each in self.model.open_heads('m3')}
+        self.assertLessEqual(kept, epochs)
+
+
 class InterleavingTest(unittest.TestCase):
     """Deaths, late orders, lost answers and two planners at once."""
 
--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -137,6 +137,8 @@
         Part of the orders that are carried out seconds later, unanswered.
     strikes, slow
         What requests and reports say of engines.
+    running
+        Requests under way by model.
     deaf
         Engines that refuse connections and still work.
     """
@@ -151,6 +153,7 @@
     orders: int = 0
     strikes: dict[str, int] = attrs.field(factory=dict)
     slow: set[str] = attrs.field(factory=set)
+    running: dict[str, float] = attrs.field(factory=dict)
     deaf: set[str] = attrs.field(factory=set)
     _late: list[tuple[float, ModelEngine, GroupOrder]] = attrs.field(
         factory=list,
@@ -276,6 +279,7 @@
             started=self.started,
             strikes=self.strikes,
             slow=frozenset(self.slow),
+            running=self.running,
         )
 
     def _order(self, book: FormationBook, task: OrderTask) -> None:
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -8,7 +8,9 @@
 
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.daemon.lease_loop import LeaseLoop
+from yuccavalve.fleet.activity import engine_key
 from yuccavalve.formation import (
+    Demand,
     FormationBook,
     FormationInput,
     OrderTask,
@@ -16,12 +18,14 @@
 )
 from yuccavalve.formation.const import (
     DEAD_S,
+    DEMAND_LOG_S,
     NEWCOMER_S,
     PROBE_AGAIN_S,
     PROBE_HEDGE_S,
     PROBE_STRUCK_S,
     SLOW_FACTOR,
     SLOW_TRUST_S,
+    STEP_IDLE_S,
     STEP_LEAST_S,
     STEP_S,
 )
@@ -50,6 +54,8 @@
     node: GatewayNode
     lease: LeaseLoop
     _books: dict[str, FormationBook] = attrs.field(factory=dict)
+    _demands: dict[str, Demand] = attrs.field(factory=dict)
+    _demand_logged_at_s: float = _NEVER_S
     _term: int = 0
     _dead: dict[str, _Death] = attrs.field(factory=dict)
     _unsure: set[str] = attrs.field(factory=set)
@@ -69,6 +75,9 @@
     async def _async_pause(self) -> None:
         """Wait for the next step, or until something has changed."""
         changed = self.node.engines_changed
+        if not self.node.book.plans:
+            await asyncio.sleep(STEP_IDLE_S)
+            return
         await asyncio.sleep(STEP_LEAST_S)
         await async_wait(changed, STEP_S - STEP_LEAST_S)
         changed.clear()
@@ -98,6 +107,27 @@
         self._probe(self._suspects(facts), now_s)
         for task in book.step(facts, now_s):
             self._spawn(self._async_order(book, task))
+        self._log_demand(service, facts, now_s)
+
+    def _log_demand(
+        self,
+        service: ServiceProfile,
+        facts: FormationInput,
+        now_s: float,
+    ) -> None:
+        """Log now and then what the balance of models goes by."""
+        if now_s - self._demand_logged_at_s < DEMAND_LOG_S:
+            return
+        self._demand_logged_at_s = now_s
+        for model in facts.models:
+            logging.info(
+                'event=model_demand service=%s model=%s replicas=%d '
+                'running=%.1f',
+                service.name,
+                model.name,
+                len(self.node.view.heads(service.name, model.name)),
+                facts.running.get(model.name, 0),
+            )
 
     def _facts(self, service: ServiceProfile, now_s: float) -> FormationInput:
         view = self.node.view
@@ -115,8 +145,11 @@
             key.partition('/')[0]: count
             for key, count in self.node.book.strikes().items()
         }
+        demand = self._demands.setdefault(service.name, Demand())
+        demand.note(self._running(service), now_s)
         return FormationInput(
             service=service,
+            running=demand.running(),
             engines=mine,
             unlisted=unlisted,
             departed=frozenset(view.departed & unlisted.keys()),
@@ -128,6 +161,18 @@
             newcomer=now_s - view.first_read_at_s < NEWCOMER_S,
         )
 
+    def _running(self, service: ServiceProfile) -> dict[str, int]:
+        """Return the requests of all daemons under way by model."""
+        models = () if service.engine is None else service.engine.models
+        load = self.node.activity.load
+        return {
+            model.name: sum(
+                load(engine_key(head))
+                for head in self.node.view.heads(service.name, model.name)
+            )
+            for model in models
+        }
+
     def _forget_deaths(self, now_s: float) -> None:
         self._dead = {
             engine: death
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -100,8 +100,7 @@
 
     def serves_as_hub(self) -> bool:
         """Tell whether others may count on this daemon as their hub."""
-        own_hub = self.hubs.own_hub()
-        return own_hub == self.roster.own or self.book.has_followers()
+        return not self.book.follows or self.book.has_followers()
 
     def told_age_s(self) -> float:
         """Return the age from which this daemon reads the store itself.
--- a/yuccavalve/fleet/const.py
+++ b/yuccavalve/fleet/const.py
@@ -19,7 +19,7 @@
 HUB_STALE_S: Final = 1.0
 RELAY_STALE_S: Final = 1.4
 # Period of the check whether a hub's news is still fresh.
-RELAY_CHECK_S: Final = 0.1
+RELAY_CHECK_S: Final = 0.15
 # Pause after a failed reading, of a hub and of others.
 FEED_RETRY_S: Final = 0.3
 FEED_RETRY_OTHERS_S: Final = 1.5
--- a/yuccavalve/formation/__init__.py
+++ b/yuccavalve/formation/__init__.py
@@ -1,6 +1,7 @@
 """Form replicas of several engines, open them, and give them up."""
 
 from yuccavalve.formation.book import FormationBook
+from yuccavalve.formation.demand import Demand
 from yuccavalve.formation.health import ReplicaHealth
 from yuccavalve.formation.models import (
     FormationInput,
@@ -10,6 +11,7 @@
 )
 
 __all__ = (
+    'Demand',
     'FormationBook',
     'FormationInput',
     'Forming',
--- a/yuccavalve/formation/book.py
+++ b/yuccavalve/formation/book.py
@@ -11,26 +11,28 @@
 another only after its first engine was seen out of it, or is gone.
 """
 
-from collections.abc import Iterator, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 from absl import logging
 
 from yuccavalve.formation.adopt import adopted
-from yuccavalve.formation.choose import choose_donor
 from yuccavalve.formation.const import (
     LINGER_S,
     ORDER_AGAIN_S,
     RECORD_LAG_S,
+    STAGE_AGAIN_S,
     SETTLE_S,
-    SHORTAGE_S,
 )
 from yuccavalve.formation.facts import (
+    held_model,
     model_of,
     replicas_of,
     usable_engines,
 )
 from yuccavalve.formation.health import ReplicaHealth
+from yuccavalve.formation.loads import WeightLoads
 from yuccavalve.formation.models import (
     Ending,
     FormationInput,
@@ -38,7 +40,9 @@
     OrderTask,
     ReplicaFacts,
 )
+from yuccavalve.formation.rebalance import Rebalancer
 from yuccavalve.formation.recruit import Recruiter
+from yuccavalve.formation.staging import HostStaging
 from yuccavalve.ports.fleet import (
     EngineRecord,
     GroupOrder,
@@ -70,23 +74,37 @@
     _term: int = 0
     _leaving: dict[str, Ending] = attrs.field(factory=dict)
     _left_at_s: dict[str, float] = attrs.field(factory=dict)
+    _abandoned: set[str] = attrs.field(factory=set)
+    _retired: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     _unreached_at_s: dict[str, float] = attrs.field(factory=dict)
     _sent_at_s: dict[tuple[str, str, str], float] = attrs.field(factory=dict)
-    _recruiter: Recruiter = attrs.field(factory=Recruiter)
+    _loads: WeightLoads = attrs.field(factory=WeightLoads)
+    _recruiter: Recruiter = attrs.field(init=False)
+    _rebalancer: Rebalancer = attrs.field(init=False)
+    _staging: HostStaging = attrs.field(init=False)
     _engines: frozenset[str] = frozenset()
     _changed_at_s: float = 0
-    _short_since_s: float = 0
     _now_s: float = 0
 
+    def __attrs_post_init__(self) -> None:
+        """Share the count of loads among those who begin them."""
+        self._recruiter = Recruiter(self._loads)
+        self._rebalancer = Rebalancer(self._loads)
+        self._staging = HostStaging(self._loads)
+
     def start_term(self, term: int) -> None:
         """Begin with an empty book under a new term."""
         self._term = term
         self.forming.clear()
         self._leaving.clear()
         self._left_at_s.clear()
+        self._abandoned.clear()
+        self._retired.clear()
         self._unreached_at_s.clear()
         self._sent_at_s.clear()
         self._recruiter.start_term(term)
+        self._rebalancer.clear()
+        self._staging.clear()
 
     def step(self, facts: FormationInput, now_s: float) -> list[OrderTask]:
         """Return the orders to give now."""
@@ -102,15 +120,23 @@
         if facts.newcomer:
             taken.update(_headless(replicas))
         counts = self._counts(facts, replicas)
-        self._rebalance(facts, replicas, counts, taken, now_s)
+        self._rebalance(facts, replicas, counts, taken)
         warming = self._recruiter.warmups.models()
-        facts = attrs.evolve(facts, warming=warming)
+        facts = attrs.evolve(
+            facts,
+            warming=warming,
+            retired=_retired_models(facts, self._retired),
+            returning=_returning(facts, self._leaving.values()),
+            favoured=self._rebalancer.favoured(now_s),
+        )
         if facts.started or now_s - self._changed_at_s >= SETTLE_S:
             self._recruit(facts, replicas, counts, taken)
         tasks = [
             *self._leave_tasks(facts),
             *self._forming_tasks(facts),
             *self._recruiter.warmups.tasks(facts, self._term),
+            *self._rebalancer.tasks(facts, self._term),
+            *self._staging.tasks(facts, self._term, now_s),
         ]
         return [task for task in tasks if self._is_due(task, now_s)]
 
@@ -149,9 +175,22 @@
         replicas: Mapping[str, ReplicaFacts],
         now_s: float,
     ) -> None:
-        """Go on with replicas that an earlier planner was forming."""
+        """Go on with replicas that an earlier planner was forming.
+
+        Not with one that this planner has abandoned: its members may have
+        been ordered into another since, and would join that from an open
+        replica.
+        """
+        bound = {
+            engine
+            for forming in self.forming.values()
+            for engine in forming.members
+        }
         for replica in replicas.values():
-            if self._is_in_hand(replica.replica):
+            name = replica.replica
+            if self._is_in_hand(name) or name in self._abandoned:
+                continue
+            if not bound.isdisjoint(replica.members):
                 continue
             forming = adopted(facts, replica, now_s)
             if forming is not None:
@@ -195,6 +234,7 @@
             reason,
         )
         self.forming.pop(replica.replica, None)
+        self._abandoned.add(replica.replica)
         if replica.opened:
             self._leaving[replica.replica] = replica.ending()
 
@@ -210,16 +250,7 @@
                 continue
             reason = self.health.reason(facts, replica, spares, now_s)
             if reason:
-                logging.info(
-                    'event=replica_given_up replica=%s epoch=%d head=%s '
-                    'members=%d reason=%r',
-                    replica.replica,
-                    replica.epoch,
-                    replica.head,
-                    len(replica.members),
-                    reason,
-                )
-                self._leaving[replica.replica] = replica.ending()
+                self._leave(facts, replica, reason)
 
     def _is_in_hand(self, replica: str) -> bool:
         """Tell whether a replica is forming, ending or has ended."""
@@ -288,30 +319,46 @@
         replicas: Mapping[str, ReplicaFacts],
         counts: Mapping[str, int],
         taken: set[str],
-        now_s: float,
     ) -> None:
-        """Give a replica up for a model that has far too few for long.
-
-        Its engines must load the other model, so a shortage has to last.
-        """
+        """Give replicas up whose engines another model needs more."""
         usable = usable_engines(facts, taken)
-        chosen = choose_donor(facts, replicas, usable, counts)
-        if chosen is None or chosen.replica in self._leaving:
-            self._short_since_s = now_s
-            return
-        if now_s - self._short_since_s < SHORTAGE_S:
-            return
-        self._short_since_s = now_s
+        serving = {
+            name: replica
+            for name, replica in replicas.items()
+            if not self._is_in_hand(name)
+        }
+        donors = self._rebalancer.step(
+            facts,
+            serving,
+            usable,
+            counts,
+            self._now_s,
+        )
+        for donor in donors:
+            self._leave(
+                facts, replicas[donor], 'another model needs its engines'
+            )
+
+    def _leave(
+        self,
+        facts: FormationInput,
+        replica: ReplicaFacts,
+        reason: str,
+    ) -> None:
+        model = model_of(facts, replica)
+        head = facts.engines.get(replica.head)
+        if model is not None and head is not None:
+            self._retired[replica.head] = (head.born_ms, model.name)
         logging.info(
             'event=replica_given_up replica=%s epoch=%d head=%s members=%d '
             'reason=%r',
-            chosen.replica,
-            chosen.epoch,
-            chosen.head,
-            len(chosen.members),
-            'another model has too few',
+            replica.replica,
+            replica.epoch,
+            replica.head,
+            len(replica.members),
+            reason,
         )
-        self._leaving[chosen.replica] = chosen.ending()
+        self._leaving[replica.replica] = replica.ending()
 
     def _recruit(
         self,
@@ -412,7 +459,10 @@
         order = task.order
         subject = order.replica or order.model
         key = (task.engine.engine, order.kind.value, subject)
-        if now_s - self._sent_at_s.get(key, float('-inf')) < ORDER_AGAIN_S:
+        again_s = ORDER_AGAIN_S
+        if order.kind is GroupOrderKind.STAGE:
+            again_s = STAGE_AGAIN_S
+        if now_s - self._sent_at_s.get(key, float('-inf')) < again_s:
             return False
         self._sent_at_s[key] = now_s
         return True
@@ -431,6 +481,33 @@
     }
 
 
+def _retired_models(
+    facts: FormationInput,
+    retired: Mapping[str, tuple[int, str]],
+) -> dict[str, str]:
+    """Return the models of first engines that left and live on."""
+    return {
+        engine: model
+        for engine, (born_ms, model) in retired.items()
+        if engine in facts.engines and facts.engines[engine].born_ms == born_ms
+    }
+
+
+def _returning(
+    facts: FormationInput,
+    endings: Iterable[Ending],
+) -> dict[str, Counter[str]]:
+    """Count the engines of replicas that are ending."""
+    returning: dict[str, Counter[str]] = defaultdict(Counter)
+    for ending in endings:
+        for engine in ending.members:
+            record = facts.engines.get(engine)
+            if record is not None and engine not in facts.dead:
+                held = held_model(facts, record)
+                returning[record.fabric_domain][held] += 1
+    return returning
+
+
 def _lost_member(facts: FormationInput, replica: Forming) -> str:
     for engine, born_ms in zip(
         replica.members,
--- a/yuccavalve/formation/choose.py
+++ b/yuccavalve/formation/choose.py
@@ -1,25 +1,31 @@
 """Choose what replicas to form next and what spares to warm."""
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 
 from yuccavalve.formation.const import (
     BALANCE_MARGIN,
+    BUSY_PART,
+    HEAD_START,
+    LEAST_RUNNING,
+    MEASURED_WEIGHT,
     SCARCE_REPLICAS,
     SLOW_PENALTY_S,
     TAKEOVER_PENALTY_S,
 )
 from yuccavalve.formation.facts import (
+    busy_part,
     cold_members,
-    domain_of,
     held_model,
-    model_of,
+    is_half_there,
 )
-from yuccavalve.formation.models import FormationInput, ReplicaFacts
+from yuccavalve.formation.models import FormationInput
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.routing import ModelProfile
 
 __all__ = (
-    'choose_donor',
+    'Domains',
+    'can_form',
     'choose_next',
     'choose_ready',
 )
@@ -43,8 +49,8 @@
     """
     models = _by_need(facts, counts)
     for model in models:
-        left = _without_needed(usable, model, models[0], counts)
-        members = _best_members(facts, left, model)
+        left = _without_needed(facts, usable, model, models[0], counts)
+        members = _best_members(facts, left, model, counts)
         if members and not cold_members(members, model.name):
             return model, members
     return None
@@ -66,52 +72,38 @@
     models = _by_need(facts, counts)
     if not models:
         return None
-    most = _coverage_after(models[0], counts)
+    most = _coverage_after(facts, models[0], counts)
     for model in models:
-        ahead = _coverage_after(model, counts) > most * BALANCE_MARGIN
+        ahead = _coverage_after(facts, model, counts) > most * BALANCE_MARGIN
         if ahead and counts[model.name] >= SCARCE_REPLICAS:
             continue
-        members = _best_members(facts, usable, model)
+        members = _best_members(facts, usable, model, counts)
         if members:
             return model, members
     return None
 
 
-def choose_donor(
+def can_form(
     facts: FormationInput,
-    replicas: Mapping[str, ReplicaFacts],
     usable: Domains,
+    model: ModelProfile,
     counts: Mapping[str, int],
-) -> ReplicaFacts | None:
-    """Return a replica to give up so that another model can form one.
-
-    The other model must have far too few, and the donor's model must keep at
-    least one.
-    """
-    profile = facts.service.engine
-    if profile is None:
-        return None
-    needy = min(profile.models, key=lambda model: _coverage(model, counts))
-    for replica in replicas.values():
-        model = model_of(facts, replica)
-        if not replica.is_open or model is None or model == needy:
-            continue
-        free = usable.get(domain_of(facts, replica), ())
-        fits = len(free) + len(replica.members) >= needy.size
-        if fits and _is_short(needy, model, counts):
-            return replica
-    return None
+) -> bool:
+    """Tell whether some domain has the engines for a replica of a model."""
+    return bool(_best_members(facts, usable, model, counts))
 
 
 def _by_need(
     facts: FormationInput,
     counts: Mapping[str, int],
 ) -> list[ModelProfile]:
-    profile = facts.service.engine
-    models = () if profile is None else profile.models
     return sorted(
-        models,
-        key=lambda model: (_coverage(model, counts), -model.size),
+        facts.models,
+        key=lambda model: (
+            model.name != facts.favoured,
+            _coverage(facts, model, counts),
+            -model.size,
+        ),
     )
 
 
@@ -119,16 +111,18 @@
     facts: FormationInput,
     usable: Domains,
     model: ModelProfile,
+    counts: Mapping[str, int],
 ) -> list[EngineRecord]:
     """Return the engines that form a replica soonest; none if none can."""
+    available = [
+        _available(facts, records, model, counts) for records in usable.values()
+    ]
     fitting = [
         _members(facts, records, model)
-        for records in usable.values()
+        for records in available
         if len(records) >= model.size
     ]
-    profile = facts.service.engine
-    sizes = [] if profile is None else [each.size for each in profile.models]
-    largest = max(sizes, default=model.size)
+    largest = max(each.size for each in facts.models)
     return min(
         fitting,
         default=[],
@@ -141,6 +135,7 @@
 
 
 def _is_short(
+    facts: FormationInput,
     needy: ModelProfile,
     other: ModelProfile,
     counts: Mapping[str, int],
@@ -152,10 +147,12 @@
     """
     if not counts[needy.name]:
         return counts[other.name] > 1
-    return _coverage_after(needy, counts) * 2 <= _coverage(other, counts)
+    after = _coverage_after(facts, needy, counts)
+    return after * 2 <= _coverage(facts, other, counts)
 
 
 def _without_needed(
+    facts: FormationInput,
     usable: Domains,
     model: ModelProfile,
     needy: ModelProfile,
@@ -163,7 +160,7 @@
 ) -> Domains:
     """Return the domains where a model may form without harm to another."""
     after = {**counts, model.name: counts[model.name] + 1}
-    if model == needy or not _is_short(needy, model, after):
+    if model == needy or not _is_short(facts, needy, model, after):
         return usable
     return {
         domain: records
@@ -172,14 +169,38 @@
     }
 
 
-def _coverage(model: ModelProfile, counts: Mapping[str, int]) -> float:
-    return (
-        counts.get(model.name, 0) * model.size / max(model.share, _LEAST_SHARE)
-    )
+def _coverage(
+    facts: FormationInput,
+    model: ModelProfile,
+    counts: Mapping[str, int],
+) -> float:
+    """Return a model's replicas for its part of the work."""
+    return counts.get(model.name, 0) / _work(facts, model)
+
+
+def _coverage_after(
+    facts: FormationInput,
+    model: ModelProfile,
+    counts: Mapping[str, int],
+) -> float:
+    with_one_more = {model.name: counts.get(model.name, 0) + 1}
+    return _coverage(facts, model, with_one_more)
 
 
-def _coverage_after(model: ModelProfile, counts: Mapping[str, int]) -> float:
-    return _coverage(model, {model.name: counts.get(model.name, 0) + 1})
+def _work(facts: FormationInput, model: ModelProfile) -> float:
+    """Return a model's part of the work: as stated, and as it is now.
+
+    What is stated counts in engines, what is measured in requests under way
+    at replicas of equally many slots.
+    """
+    models = facts.models
+    stated = sum(each.share / each.size for each in models)
+    part = model.share / model.size / max(stated, _LEAST_SHARE)
+    running = sum(facts.running.get(each.name, 0) for each in models)
+    if running >= LEAST_RUNNING:
+        measured = facts.running.get(model.name, 0) / running
+        part += MEASURED_WEIGHT * (measured - part)
+    return max(part, _LEAST_SHARE)
 
 
 def _spoilt(free: int, model: ModelProfile, largest: int) -> int:
@@ -187,6 +208,60 @@
     return free // largest - (free - model.size) // largest
 
 
+def _available(
+    facts: FormationInput,
+    records: Sequence[EngineRecord],
+    model: ModelProfile,
+    counts: Mapping[str, int],
+) -> list[EngineRecord]:
+    """Return the engines of a domain that a model may use.
+
+    Those that hold half of another model's replica or more wait for the rest
+    of it, unless their domain has too few engines for it, or this model
+    lacks no more engines than that, or needs them more.
+    """
+    domain = records[0].fabric_domain
+    held = Counter(held_model(facts, record) for record in records)
+    lacking = model.size - held[model.name]
+    held.update(facts.returning.get(domain, {}))
+    in_domain = _engines_in(facts, domain)
+    kept = {
+        other.name
+        for other in facts.models
+        if is_half_there(other, held)
+        and other.size <= in_domain
+        and other.size - held[other.name] < lacking
+    }
+    kept -= {
+        other.name
+        for other in facts.models
+        if other == model or _needs_more(facts, model, other, counts)
+    }
+    return [
+        record for record in records if held_model(facts, record) not in kept
+    ]
+
+
+def _engines_in(facts: FormationInput, domain: str) -> int:
+    """Count the engines of a domain that may serve."""
+    return sum(
+        each.fabric_domain == domain and not each.draining
+        for each in facts.engines.values()
+    )
+
+
+def _needs_more(
+    facts: FormationInput,
+    model: ModelProfile,
+    other: ModelProfile,
+    counts: Mapping[str, int],
+) -> bool:
+    """Tell whether a model is busier than another one with one replica more."""
+    busy = busy_part(facts, model, counts[model.name])
+    after = busy_part(facts, other, counts[other.name] + 1)
+    return busy > max(BUSY_PART, after)
+
+
 def _members(
     facts: FormationInput,
     records: Sequence[EngineRecord],
@@ -212,12 +287,12 @@
     replica down, comes after all others.
     """
     penalty_s = SLOW_PENALTY_S * (record.engine in facts.slow)
-    if model.name in record.models:
+    held = held_model(facts, record)
+    retired = held == facts.retired.get(record.engine) == model.name
+    if model.name in record.models or retired:
         return penalty_s
     if model.name in record.staged:
         return penalty_s + model.warm_s
-    if facts.warming.get(record.engine) == model.name:
-        return penalty_s + model.load_s
-    if facts.warming.get(record.engine) or held_model(facts, record):
+    if held and held != model.name:
         penalty_s += TAKEOVER_PENALTY_S
-    return penalty_s + model.load_s
+    return penalty_s + model.load_s * (1 - HEAD_START * (held == model.name))
--- a/yuccavalve/formation/const.py
+++ b/yuccavalve/formation/const.py
@@ -5,9 +5,13 @@
 # Pause between the planner's steps, and the least after a change.
 STEP_S: Final = 0.1
 STEP_LEAST_S: Final = 0.02
+# Pause between looks of a daemon that does not plan at whether it does.
+STEP_IDLE_S: Final = 0.2
 # Time after which an order without an effect is given again.
 ORDER_AGAIN_S: Final = 0.7
 ORDER_TIMEOUT_S: Final = 0.6
+# The same for an order to load a model, which shows no effect for long.
+STAGE_AGAIN_S: Final = 30.0
 # Engines answer reports without a slot, within a few milliseconds.
 REPORT_TIMEOUT_S: Final = 0.2
 # Replicas that take this many times their expected time to form, and a
@@ -39,19 +43,38 @@
 # A probe is sent a second time after this pause, since a lost packet would
 # make a living engine look dead.
 PROBE_HEDGE_S: Final = 0.08
-# How long a model must have far too few replicas before another's is given up
-# for it; engines that are replaced register again within this time.
-SHORTAGE_S: Final = 2.5
+# How long a model must be short before engines move to it.
+SHORTAGE_S: Final = 1.0
+# For how long after engines were given up for a model it forms first; their
+# first engine has left by then, and the next records have come.
+FAVOUR_S: Final = 3.0
+# Memory of the moving average of what callers ask of each model.
+DEMAND_MEMORY_S: Final = 3.0
+# Pause between lines of the log about it.
+DEMAND_LOG_S: Final = 1.0
+# Weight of what is measured against what the configuration states of the
+# models' parts of the work, and the requests under way from which it counts.
+MEASURED_WEIGHT: Final = 0.7
+LEAST_RUNNING: Final = 20
+# A model is short of replicas when more than this part of their slots is used:
+# first events and pauses are late long before all are.
+BUSY_PART: Final = 0.5
 # A model with fewer replicas than this forms one wherever it fits, since the
 # loss of a single engine would stop it.
 SCARCE_REPLICAS: Final = 2
 # Names of the replicas in which warm spares wait begin so.
 STANDBY_PREFIX: Final = 'standby-'
+# Part of the loads that the weight store serves at once that goes to hosts
+# which load a second model; spares that load their first one need the rest.
+STAGING_PART: Final = 0.5
 # Spares of one model that a domain keeps; more may take over another model.
 SPARES_KEPT: Final = 1
 # Engines that hold another model join only where bare ones would take this
 # much longer: after a load of theirs.
 TAKEOVER_PENALTY_S: Final = 10.0
+# Part of a load by which an engine that is loading a model already is taken
+# to be ahead of one that would begin now.
+HEAD_START: Final = 0.5
 # For how long the records of engines may lag behind what they were told.
 RECORD_LAG_S: Final = 1.0
 # An engine counts as slow when its report says that its times are this many
--- a/yuccavalve/formation/facts.py
+++ b/yuccavalve/formation/facts.py
@@ -5,16 +5,20 @@
 
 from yuccavalve.formation.const import STANDBY_PREFIX
 from yuccavalve.formation.models import FormationInput, ReplicaFacts
-from yuccavalve.ports.fleet import EngineRecord, Membership
+from yuccavalve.ports.fleet import EngineRecord, Membership, MemberState
 from yuccavalve.routing import ModelProfile
 
 __all__ = (
+    'busy_part',
     'cold_members',
     'domain_of',
     'held_model',
+    'is_half_there',
+    'is_loading',
     'is_warm',
     'model_of',
     'replicas_of',
+    'standby_name',
     'usable_engines',
 )
 
@@ -36,6 +40,24 @@
     }
 
 
+def standby_name(model: str, epoch: int) -> str:
+    """Return the name of a standby replica.
+
+    It holds the model, since engines don't tell what they are loading, and a
+    planner that takes over must not begin a load anew.
+    """
+    return f'{STANDBY_PREFIX}{model}-{epoch}'
+
+
+def _standby_model(record: EngineRecord) -> str:
+    """Return the model of the standby replica that an engine is in."""
+    membership = record.membership
+    if membership is None or not _is_standby(membership):
+        return ''
+    named = membership.replica.removeprefix(STANDBY_PREFIX)
+    return named.rpartition('-')[0]
+
+
 def _is_standby(membership: Membership) -> bool:
     return membership.replica.startswith(STANDBY_PREFIX)
 
@@ -71,11 +93,12 @@
 
 def held_model(facts: FormationInput, record: EngineRecord) -> str:
     """Return the model that a spare holds, or is being warmed for."""
-    warming = facts.warming.get(record.engine)
-    profile = facts.service.engine
-    if warming or profile is None:
-        return warming or ''
-    names = [model.name for model in profile.models]
+    warming = facts.warming.get(record.engine) or _standby_model(record)
+    if warming:
+        return warming
+    if record.membership is None and record.engine in facts.retired:
+        return facts.retired[record.engine]
+    names = [model.name for model in facts.models]
     for held in (record.models, record.staged):
         for name in names:
             if name in held:
@@ -102,6 +125,44 @@
     return model in record.models or model in record.staged
 
 
+def busy_part(
+    facts: FormationInput,
+    model: ModelProfile,
+    replicas: int,
+) -> float:
+    """Return the part of their slots that a number of replicas would use."""
+    profile = facts.service.engine
+    if profile is None or not replicas:
+        return float('inf')
+    running = facts.running.get(model.name, 0)
+    return running / (replicas * max(1, profile.slots))
+
+
+def is_half_there(model: ModelProfile, held: Mapping[str, int]) -> bool:
+    """Tell whether half of a replica's engines or more hold its model.
+
+    Parameters
+    ----------
+    model
+        The model.
+    held
+        Free engines of a domain by the model that they hold.
+    """
+    return held.get(model.name, 0) * 2 >= model.size
+
+
+def is_loading(facts: FormationInput, record: EngineRecord) -> bool:
+    """Tell whether a spare is on its way to hold a model."""
+    membership = record.membership
+    if record.engine in facts.warming:
+        return True
+    return (
+        membership is not None
+        and _is_standby(membership)
+        and membership.state is MemberState.JOINING
+    )
+
+
 def cold_members(members: Iterable[EngineRecord], model: str) -> int:
     """Count the engines that must load a model from the weight store."""
     return sum(not is_warm(record, model) for record in members)
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -54,6 +54,17 @@
         Models that spares are being warmed for, by engine.
     slow
         Engines whose reports say that they are slow.
+    running
+        Requests under way by model, averaged over some seconds.
+    retired
+        Models that first engines had as they left their replicas, by engine;
+        their records tell no model any more, but they still join one of the
+        same model fastest.
+    returning
+        Engines of replicas that are ending, by fabric domain and the model
+        that they hold.
+    favoured
+        Model that engines were just given up for, which forms first.
     newcomer
         Whether this daemon has known the list only for a short time.
     """
@@ -68,8 +79,18 @@
     started: bool = True
     warming: Mapping[str, str] = attrs.field(factory=dict)
     slow: frozenset[str] = frozenset()
+    running: Mapping[str, float] = attrs.field(factory=dict)
+    retired: Mapping[str, str] = attrs.field(factory=dict)
+    returning: Mapping[str, Mapping[str, int]] = attrs.field(factory=dict)
+    favoured: str = ''
     newcomer: bool = False
 
+    @property
+    def models(self) -> Sequence[ModelProfile]:
+        """Return the models of the service."""
+        profile = self.service.engine
+        return () if profile is None else profile.models
+
 
 @attrs.frozen
 class Ending:
--- a/yuccavalve/formation/recruit.py
+++ b/yuccavalve/formation/recruit.py
@@ -7,7 +7,12 @@
 
 from yuccavalve.formation.choose import choose_next, choose_ready
 from yuccavalve.formation.const import EPOCHS_PER_TERM
-from yuccavalve.formation.facts import cold_members, is_warm, usable_engines
+from yuccavalve.formation.facts import (
+    cold_members,
+    is_loading,
+    is_warm,
+    usable_engines,
+)
 from yuccavalve.formation.loads import WeightLoads
 from yuccavalve.formation.models import FormationInput, Forming, ReplicaFacts
 from yuccavalve.formation.spares import choose_spares
@@ -24,12 +29,14 @@
 
     Attributes
     ----------
+    loads
+        Loads from the weight store.
     warmups
         Spares that are being warmed.
     """
 
+    loads: WeightLoads
     warmups: Warmups = attrs.field(factory=Warmups)
-    _loads: WeightLoads = attrs.field(factory=WeightLoads)
     _term: int = 0
     _epochs: int = 0
 
@@ -85,7 +92,7 @@
             wanted.extend(
                 (record, model)
                 for record in members
-                if not is_warm(record, model.name)
+                if not _is_prepared(facts, record, model.name)
             )
         wanted.extend(choose_spares(facts, usable, replicas))
         for record, model in wanted:
@@ -108,7 +115,7 @@
             now_s,
             model.load_s if cold else model.warm_s,
         )
-        self._loads.start(cold, now_s)
+        self.loads.start(cold, now_s)
         logging.info(
             'event=replica_forming replica=%s epoch=%d model=%s domain=%s '
             'cold=%d members=%s',
@@ -129,10 +136,10 @@
         now_s: float,
     ) -> None:
         loads = int(not is_warm(record, model.name))
-        if facts.warming.get(record.engine) or not self._has_epochs():
+        if not self._has_epochs():
             return
-        if self._loads.may_start(facts, loads, now_s):
-            self._loads.start(loads, now_s)
+        if self.loads.may_start(facts, loads, now_s):
+            self.loads.start(loads, now_s)
             self.warmups.begin(record, model, self._next_epoch(), now_s)
 
     def _has_epochs(self) -> bool:
@@ -141,3 +148,16 @@
     def _next_epoch(self) -> int:
         self._epochs += 1
         return self._term * EPOCHS_PER_TERM + self._epochs
+
+
+def _is_prepared(
+    facts: FormationInput,
+    record: EngineRecord,
+    model: str,
+) -> bool:
+    """Tell whether an engine holds a model, or is loading one.
+
+    A load that is under way ends first, also of another model: to change
+    one's mind costs more than to have one spare too many.
+    """
+    return is_warm(record, model) or is_loading(facts, record)
--- a/yuccavalve/formation/spares.py
+++ b/yuccavalve/formation/spares.py
@@ -9,7 +9,13 @@
 from collections.abc import Iterator, Mapping, Sequence
 
 from yuccavalve.formation.const import SPARES_KEPT
-from yuccavalve.formation.facts import domain_of, held_model, model_of
+from yuccavalve.formation.facts import (
+    domain_of,
+    held_model,
+    is_half_there,
+    is_loading,
+    model_of,
+)
 from yuccavalve.formation.models import FormationInput, ReplicaFacts
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.routing import ModelProfile
@@ -41,12 +47,8 @@
     records: Sequence[EngineRecord],
     served: set[str],
 ) -> _Wanted:
-    profile = facts.service.engine
     # The loss of any member stops a replica, so larger ones need more.
-    models = sorted(
-        () if profile is None else profile.models,
-        key=lambda model: -model.size,
-    )
+    models = sorted(facts.models, key=lambda model: -model.size)
     held = Counter(held_model(facts, record) for record in records)
     for record in records:
         model = _wanted_model(facts, record, models, served, held)
@@ -81,16 +83,18 @@
     held: Mapping[str, int],
 ) -> ModelProfile | None:
     """Return the model that a spare should hold; None to leave it."""
-    if facts.warming.get(record.engine):
+    if is_loading(facts, record):
         return None
     own = held_model(facts, record)
     if not own:
         return min(models, key=lambda model: held[model.name], default=None)
+    kept = next((model for model in models if model.name == own), None)
     lacking = [
         model
         for model in models
         if model.name in served and not held[model.name]
     ]
-    if lacking and held[own] > SPARES_KEPT:
+    needed = kept is not None and is_half_there(kept, held)
+    if lacking and held[own] > SPARES_KEPT and not needed:
         return lacking[0]
-    return next((model for model in models if model.name == own), None)
+    return kept
--- /dev/null
+++ b/yuccavalve/formation/staging.py
@@ -0,0 +1,124 @@
+"""Have hosts hold a model that their engines do not serve.
+
+An engine has one model in memory and its host holds others. Where the host
+holds a second one, the engine can join a replica of either within a second or
+two, so any spare stands in for any member, and a replica of one model can be
+given up for another without a load from the weight store.
+"""
+
+from collections.abc import Iterator
+
+import attrs
+from absl import logging
+
+from yuccavalve.formation.const import FORMING_FACTOR, STAGING_PART
+from yuccavalve.formation.facts import held_model, is_loading
+from yuccavalve.formation.loads import WeightLoads
+from yuccavalve.formation.models import FormationInput, OrderTask
+from yuccavalve.ports.fleet import (
+    EngineRecord,
+    GroupOrder,
+    GroupOrderKind,
+    MemberState,
+)
+from yuccavalve.routing import ModelProfile
+
+__all__ = ('HostStaging',)
+
+
+@attrs.frozen
+class _Staging:
+    born_ms: int
+    model: str
+    until_s: float
+
+
+@attrs.define
+class HostStaging:
+    """Loads onto hosts that are under way.
+
+    Attributes
+    ----------
+    loads
+        Loads from the weight store, shared with the recruiter.
+    """
+
+    loads: WeightLoads
+    _under_way: dict[str, _Staging] = attrs.field(factory=dict)
+
+    def clear(self) -> None:
+        """Forget what is under way."""
+        self._under_way.clear()
+
+    def tasks(
+        self,
+        facts: FormationInput,
+        term: int,
+        now_s: float,
+    ) -> Iterator[OrderTask]:
+        """Yield the orders to load a second model onto hosts."""
+        self._note(facts, now_s)
+        for record in facts.engines.values():
+            model = _second_model(facts, record)
+            if model is None or record.engine in self._under_way:
+                continue
+            if not self._may_start(facts, now_s):
+                return
+            self.loads.start(1, now_s)
+            self._under_way[record.engine] = _Staging(
+                record.born_ms,
+                model.name,
+                now_s + model.load_s * FORMING_FACTOR,
+            )
+            logging.info(
+                'event=host_staging engine=%s model=%s',
+                record.engine,
+                model.name,
+            )
+            order = GroupOrder(
+                GroupOrderKind.STAGE,
+                model=model.name,
+                term=term,
+            )
+            yield OrderTask(record, order)
+
+    def _note(self, facts: FormationInput, now_s: float) -> None:
+        """Forget loads that have ended, or that should have."""
+        for engine, staging in list(self._under_way.items()):
+            record = facts.engines.get(engine)
+            ended = (
+                record is None
+                or record.born_ms != staging.born_ms
+                or staging.model in record.staged
+            )
+            if ended or now_s > staging.until_s:
+                self._under_way.pop(engine)
+
+    def _may_start(self, facts: FormationInput, now_s: float) -> bool:
+        """Tell whether a load may begin; those of spares go first."""
+        profile = facts.service.engine
+        if profile is None or not facts.started:
+            return True
+        at_once = max(1, int(profile.loads_at_once * STAGING_PART))
+        if len(self._under_way) >= at_once:
+            return False
+        return self.loads.may_start(facts, 1, now_s)
+
+
+def _second_model(
+    facts: FormationInput,
+    record: EngineRecord,
+) -> ModelProfile | None:
+    """Return the model that an engine's host should load, or None."""
+    membership = record.membership
+    joins = membership is not None and membership.state is MemberState.JOINING
+    if record.draining or joins or is_loading(facts, record):
+        return None
+    held = held_model(facts, record)
+    if held not in record.models or record.engine in facts.dead:
+        return None
+    others = [model for model in facts.models if model.name != held]
+    if any(model.name in record.staged for model in others):
+        return None
+    # The loss of any member stops a replica, so larger ones need more.
+    return max(others, default=None, key=lambda model: model.size)
--- a/yuccavalve/formation/warming.py
+++ b/yuccavalve/formation/warming.py
@@ -13,8 +13,8 @@
 from yuccavalve.formation.const import (
     FORMING_FACTOR,
     FORMING_MARGIN_S,
-    STANDBY_PREFIX,
 )
+from yuccavalve.formation.facts import standby_name
 from yuccavalve.formation.models import FormationInput, OrderTask
 from yuccavalve.ports.fleet import (
     EngineRecord,
@@ -65,7 +65,7 @@
         warming = Warming(
             record.engine,
             record.born_ms,
-            f'{STANDBY_PREFIX}{epoch}',
+            standby_name(model.name, epoch),
             epoch,
             model.name,
             now_s + limit_s,
