Follow changed settings, stop in time without the store, name engines that were left out

Change: SettingsLoop reads the file after SIGHUP or when it has changed and follows the bounds; all steps of a stop count from the signal, the hand-over runs beside them; causes of refusals name up to 6 engines that were not sound, and `explain` shows what was seen of these. Metrics: time from giving a replica up to the next one of its model, delay of the event loop, retries left, lines left out, hub and cell.

--- /dev/null
+++ b/tests/daemon/test_gateway_metrics.py
@@ -0,0 +1,39 @@
+"""What a gateway daemon's metrics page tells."""
+
+import unittest
+from random import Random
+
+from tests.platform import builders
+from yuccavalve.daemon.gateway_metrics import metrics_application
+from yuccavalve.daemon.gateway_node import build_gateway_node
+from yuccavalve_platform.daemon import build_ports
+from yuccavalve_platform.routes import decode_routes
+
+_NAMES = (
+    'yuccavalve_routing_version 1.0',
+    'yuccavalve_routing_age_seconds',
+    'yuccavalve_engines_age_seconds',
+    'yuccavalve_daemons_alive 1.0',
+    'yuccavalve_serves_as_hub 1.0',
+    'yuccavalve_log_lines_left_out 3.0',
+    'yuccavalve_retries_left{service="portal"}',
+    'yuccavalve_replicas_open{model="m-large",service="llm"} 0.0',
+    'yuccavalve_repair_ms{quantile="0.5",service="llm"} 15',
+)
+
+
+class GatewayMetricsTest(unittest.TestCase):
+    """A daemon that has read routes and no engines."""
+
+    def test_page_names_what_operators_look_for(self) -> None:
+        settings = builders.settings('127.0.0.1:1')
+        node = build_gateway_node(settings, build_ports(settings), Random(1))
+        table = decode_routes(builders.encoded_configuration())
+        node.routing.adopt(table, b'', 'test')
+        for _ in range(3):
+            node.log_budget.leave_out()
+        node.gateway.metrics.record_ms('repair_ms', 'llm', 1500)
+        metrics_application(node)
+        text = node.gateway.metrics.text().decode()
+        for name in _NAMES:
+            self.assertIn(name, text)
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -39,5 +39,20 @@
         self.assertEqual(told[0].fields['reason'], 'dead i-3')
         self.assertIn('engine=i-1', told[1].text())
 
+    def test_refusal_tells_of_engines_that_were_not_sound(self) -> None:
+        refused = _line(
+            10,
+            'd1',
+            'request_ended',
+            request='r2',
+            cause='4 sound engines of 5, unsound: i-1',
+        )
+        told = story(read_lines((*_LINES, refused)), 'r2')
+        self.assertEqual(
+            [line.event for line in told],
+            ['replica_given_up', 'request_ended'],
+        )
+        self.assertEqual(told[0].fields['head'], 'i-1')
+
     def test_request_that_nobody_names(self) -> None:
         self.assertEqual(story(read_lines(_LINES), 'none'), [])
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -1,5 +1,6 @@
 """Builders of the platform's documents."""
 
+import json
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any
@@ -17,6 +18,7 @@
     'KEY',
     'MODEL',
     'configuration',
+    'encoded_configuration',
     'engine_options',
     'route',
     'settings',
@@ -119,6 +121,11 @@
     }
 
 
+def encoded_configuration(version: int = 1) -> bytes:
+    """Return a configuration as the store holds it."""
+    return json.dumps(configuration(version)).encode()
+
+
 def engine_options(count: int = 5, plain: int = 2) -> list[EngineOptions]:
     """Return engines of one fabric domain, and plain ones."""
     engines = [
--- a/tests/platform/test_trouble.py
+++ b/tests/platform/test_trouble.py
@@ -139,6 +139,16 @@
         answer = await self.caller.async_call('GET', '/get/x', 'id-6')
         self.assertEqual(answer.status, 401)
 
+    async def test_stop_ends_in_time_though_the_store_is_silent(self) -> None:
+        await self._async_start()
+        bounds = attrs.evolve(self.daemon.node.settings.bounds, grace_s=6)
+        self.daemon.node.follow_bounds(bounds)
+        self.fleet.store.faults.silent = True
+        clock = self.daemon.node.clock
+        began_at_s = clock.now_s()
+        self.assertEqual(await self.daemon.async_stop(), 0)
+        self.assertLess(clock.now_s() - began_at_s, bounds.grace_s)
+
     async def test_many_routes_more(self) -> None:
         await self._async_start()
         changed = builders.configuration(4)
--- a/yuccavalve/daemon/entry_desk.py
+++ b/yuccavalve/daemon/entry_desk.py
@@ -15,7 +15,7 @@
 MAX_NAMED = 64
 
 
-@attrs.frozen
+@attrs.define
 class EntryDesk:
     """Answers from what this daemon knows; asks nobody."""
 
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -107,6 +107,12 @@
         self._probe(self._suspects(facts), now_s)
         for task in book.step(facts, now_s):
             self._spawn(self._async_order(book, task))
+        for repaired_s in book.repairs.take():
+            self.node.gateway.metrics.record_ms(
+                'repair_ms',
+                service.name,
+                repaired_s * _MS,
+            )
         self._log_demand(service, facts, now_s)
 
     def _log_demand(
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -23,6 +23,9 @@
 __all__ = ('EngineLoop', 'RoutingLoop', 'StallLoop')
 
 
+_MS = 1000
+
+
 @attrs.define
 class RoutingLoop:
     """Waits at the routes' feed, unless others tell what it says."""
@@ -154,8 +157,14 @@
     async def async_run(self) -> None:
         """Check until cancelled."""
         while True:
+            due_s = self.node.clock.now_s() + STALL_CHECK_S
             await asyncio.sleep(STALL_CHECK_S)
             now_s = self.node.clock.now_s()
+            self.node.gateway.metrics.record_ms(
+                'loop_delay_ms',
+                '',
+                (now_s - due_s) * _MS,
+            )
             for key, runs in self.node.activity.find_stalled(now_s):
                 moved = [run for run in runs if run.can_move()]
                 logging.warning(
--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -6,6 +6,7 @@
 from starlette.routing import Route
 
 from yuccavalve.daemon.gateway_node import GatewayNode
+from yuccavalve.observability.metrics import Metrics
 
 __all__ = ('metrics_application',)
 
@@ -13,19 +14,19 @@
 def metrics_application(node: GatewayNode) -> Starlette:
     """Return the application that serves a daemon's metrics as text."""
     metrics = node.gateway.metrics
-    metrics.gauge('requests_in_flight', lambda: len(node.gateway.running))
-    metrics.gauge('routing_version', lambda: node.routing.version)
-    metrics.gauge('routing_age_seconds', lambda: _routing_age_s(node))
-    metrics.gauge('engines_age_seconds', lambda: _engines_age_s(node))
-    metrics.gauge('engines_listed', lambda: len(tuple(node.view.records())))
-    metrics.gauge('daemons_alive', node.live_daemons)
-    metrics.gauge('plans_replicas', lambda: int(node.book.plans))
+    _add_view_gauges(metrics, node)
+    _add_daemon_gauges(metrics, node)
     metrics.counters(
         'store_calls',
         ('duty', 'outcome'),
         lambda: node.ports.call_counts,
     )
-    metrics.counters(
+    metrics.gauges_by(
+        'retries_left',
+        ('service',),
+        lambda: _retries_left(node),
+    )
+    metrics.gauges_by(
         'replicas_open',
         ('service', 'model'),
         lambda: _open_replicas(node),
@@ -37,6 +38,35 @@
     return Starlette(routes=[Route('/metrics', async_metrics)])
 
 
+def _add_view_gauges(metrics: Metrics, node: GatewayNode) -> None:
+    """Add what tells how old the view of routes and engines is."""
+    metrics.gauge('routing_version', lambda: node.routing.version)
+    metrics.gauge('routing_age_seconds', lambda: _routing_age_s(node))
+    metrics.gauge('engines_age_seconds', lambda: _engines_age_s(node))
+    metrics.gauge('engines_listed', lambda: len(tuple(node.view.records())))
+
+
+def _add_daemon_gauges(metrics: Metrics, node: GatewayNode) -> None:
+    """Add what tells of the daemon and its place among others."""
+    metrics.gauge('requests_in_flight', lambda: len(node.gateway.running))
+    metrics.gauge('daemons_alive', node.live_daemons)
+    metrics.gauge('plans_replicas', lambda: int(node.book.plans))
+    metrics.gauge('serves_as_hub', lambda: int(node.serves_as_hub()))
+    metrics.gauge('cell_daemons', node.book.cell_size)
+    metrics.gauge('log_lines_left_out', lambda: node.log_budget.left_out_total)
+
+
+def _retries_left(node: GatewayNode) -> dict[tuple[str, ...], int]:
+    """Return what is left of this daemon's part of the retry budgets."""
+    table = node.routing.table
+    services = () if table is None else tuple(table.services)
+    now_s = node.clock.now_s()
+    return {
+        (name,): int(node.gateway.budgets.left(name, now_s))
+        for name in services
+    }
+
+
 def _routing_age_s(node: GatewayNode) -> float:
     return node.clock.now_s() - node.routing.confirmed_at_s
 
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -24,6 +24,7 @@
 from yuccavalve.gateway import Dispatcher, Gateway, InboundDecoder, Placer
 from yuccavalve.gateway.budget import BudgetBook, BudgetTerms
 from yuccavalve.membership import HubRanking, Member, Roster
+from yuccavalve.observability.logs import LineBudget
 from yuccavalve.peers import PeerClient, ShareBook
 from yuccavalve.ports import TableStore
 from yuccavalve.ports.backend import BackendPort
@@ -34,7 +35,7 @@
     RoutingFeed,
 )
 from yuccavalve.routing import RoutingState, RoutingTable
-from yuccavalve.settings import GatewaySettings
+from yuccavalve.settings import BoundSettings, GatewaySettings
 
 __all__ = ('GatewayNode', 'GatewayPorts', 'build_gateway_node')
 
@@ -78,6 +79,8 @@
     ----------
     urgent
         Set when other daemons should hear news at once.
+    log_budget
+        Counts the lines of the log that were left out.
     engines_changed
         Set when the planner should look at the engines at once.
     """
@@ -95,6 +98,7 @@
     gateway: Gateway
     desk: EntryDesk
     hubs: HubRanking
+    log_budget: LineBudget = attrs.field(factory=LineBudget)
     urgent: asyncio.Event = attrs.field(factory=asyncio.Event)
     engines_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -144,6 +148,12 @@
         """Return how many daemons are alive, this one included."""
         return len(self.roster.live(self.clock.now_s()))
 
+    def follow_bounds(self, bounds: BoundSettings) -> None:
+        """Go by changed bounds from now on."""
+        self.settings = attrs.evolve(self.settings, bounds=bounds)
+        self.desk.lifetime_s = bounds.entry_lifetime_s
+        self.gateway.budgets.follow(_budget_terms(bounds))
+
     def note_informed(self) -> None:
         """Note that requests can be served, once all is read for it."""
         known = self.routing.table is not None and self.view.version > 0
@@ -178,11 +188,7 @@
         ports.backend,
         activity,
         BudgetBook(
-            BudgetTerms(
-                bounds.retry_ratio,
-                bounds.retry_extra,
-                bounds.retry_window_s,
-            ),
+            _budget_terms(bounds),
             lambda: len(roster.live(clock.now_s())),
         ),
         clock,
@@ -214,6 +220,14 @@
     )
 
 
+def _budget_terms(bounds: BoundSettings) -> BudgetTerms:
+    return BudgetTerms(
+        bounds.retry_ratio,
+        bounds.retry_extra,
+        bounds.retry_window_s,
+    )
+
+
 def _own_member(settings: GatewaySettings) -> Member:
     daemon = settings.daemon
     return Member(
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -19,6 +20,7 @@
 )
 from yuccavalve.daemon.gateway_peers import MemberLoop, ShareLoop
 from yuccavalve.daemon.lease_loop import LeaseLoop
+from yuccavalve.daemon.settings_loop import SettingsLoop
 from yuccavalve.exceptions import (
     StoreUnavailableError,
     TransactionConflictError,
@@ -29,9 +31,10 @@
     STOP_ACCEPT_PLAIN_PART,
     STOP_END_PART,
 )
+from yuccavalve.observability.logs import LineBudget
 from yuccavalve.peers import PeerServer, ShareServicer
 from yuccavalve.serving import HttpServer, bind_socket
-from yuccavalve.settings import GatewaySettings
+from yuccavalve.settings import GatewaySettings, load_gateway_settings
 
 __all__ = ('GatewayDaemon', 'run_gateway')
 
@@ -45,19 +48,42 @@
 def run_gateway(
     settings: GatewaySettings,
     ports: GatewayPorts,
-    seed: int | None = None,
+    settings_file: Path | None = None,
+    log_budget: LineBudget | None = None,
 ) -> int:
-    """Run a gateway daemon until a signal comes; return the exit status."""
-    node = build_gateway_node(settings, ports, Random(seed))
-    return asyncio.run(GatewayDaemon(node).async_run())
+    """Run a gateway daemon until a signal comes; return the exit status.
+
+    Parameters
+    ----------
+    settings
+        What the daemon starts with.
+    ports
+        The outside systems.
+    settings_file
+        Where the settings are read again when they change.
+    log_budget
+        Counts the lines of the log that were left out.
+    """
+    node = build_gateway_node(settings, ports, Random())
+    node.log_budget = log_budget or node.log_budget
+    return asyncio.run(GatewayDaemon(node, settings_file).async_run())
 
 
 class GatewayDaemon:
     """The loops and servers of one gateway daemon."""
 
-    def __init__(self, node: GatewayNode) -> None:
+    def __init__(
+        self,
+        node: GatewayNode,
+        settings_file: Path | None = None,
+    ) -> None:
         """Assemble the parts; nothing is opened yet."""
         self._node = node
+        self._settings = SettingsLoop(
+            node,
+            settings_file,
+            load_gateway_settings,
+        )
         self._members = MemberLoop(node)
         self._lease = LeaseLoop(node)
         self._signals: asyncio.Queue[int] = asyncio.Queue()
@@ -119,6 +145,7 @@
             ShareLoop(node).async_run(),
             StallLoop(node).async_run(),
             self._lease.async_run(),
+            self._settings.async_run(),
             FormationDuty(node, self._lease).async_run(),
         ]
 
@@ -155,27 +182,31 @@
             number = await self._signals.get()
             if number != signal.SIGHUP:
                 return
-            logging.warning('event=reload_asked')
+            self._settings.asked.set()
 
     async def _async_stop(self) -> None:
-        """Send callers elsewhere, finish what runs, and leave."""
+        """Send callers elsewhere, finish what runs, and leave.
+
+        All times count from the signal, however long the store takes to let
+        go of this daemon's rows.
+        """
         node = self._node
-        grace_s = node.settings.bounds.grace_s
         began_at_s = node.clock.now_s()
         logging.warning(
             'event=stopping in_flight=%d', len(node.gateway.running)
         )
         node.gateway.stop.stopping = True
         node.roster.own = attrs.evolve(node.roster.own, leaving=True)
-        await self._async_hand_over()
-        await asyncio.sleep(grace_s * STOP_ACCEPT_PART)
+        node.urgent.set()
+        hand_over = asyncio.create_task(self._async_hand_over())
+        self._tasks.append(hand_over)
+        await self._async_until(began_at_s, STOP_ACCEPT_PART)
         node.gateway.stop.refusing_streams = True
-        plain_part = STOP_ACCEPT_PLAIN_PART - STOP_ACCEPT_PART
-        await asyncio.sleep(grace_s * plain_part)
+        await self._async_until(began_at_s, STOP_ACCEPT_PLAIN_PART)
         node.gateway.stop.refusing = True
-        left_s = began_at_s + grace_s * STOP_END_PART - node.clock.now_s()
         idle = asyncio.create_task(node.gateway.running.async_wait_idle())
-        await asyncio.wait((idle,), timeout=max(0, left_s))
+        left_s = self._left_s(began_at_s, STOP_END_PART)
+        await asyncio.wait((idle,), timeout=left_s)
         if not idle.done():
             logging.warning(
                 'event=stop_bound in_flight=%d', len(node.gateway.running)
@@ -184,6 +215,14 @@
             await asyncio.wait((idle,), timeout=_GONE_S)
         logging.warning('event=stopped')
 
+    def _left_s(self, began_at_s: float, part: float) -> float:
+        """Return the time until a part of the grace time has passed."""
+        at_s = began_at_s + self._node.settings.bounds.grace_s * part
+        return max(0, at_s - self._node.clock.now_s())
+
+    async def _async_until(self, began_at_s: float, part: float) -> None:
+        await asyncio.sleep(self._left_s(began_at_s, part))
+
     async def _async_hand_over(self) -> None:
         try:
             await self._lease.async_release()
--- /dev/null
+++ b/yuccavalve/daemon/settings_loop.py
@@ -0,0 +1,96 @@
+"""Follow changes of the settings file while the daemon runs."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+from absl import logging
+
+from yuccavalve.daemon.gateway_node import GatewayNode
+from yuccavalve.exceptions import SettingsInvalidError
+from yuccavalve.settings import GatewaySettings
+from yuccavalve.timing import async_wait
+
+__all__ = ('SettingsLoop',)
+
+# Pause between looks at whether the file has changed; it may change without
+# a signal, and nothing in it is more urgent than that.
+_LOOK_S = 2.0
+_FOLLOWED = ('bounds',)
+
+
+@attrs.define
+class SettingsLoop:
+    """Reads the file again after a signal or when it has changed.
+
+    Bounds are followed at once. Anything else needs a new start, which is
+    logged; the daemon goes on with what it has.
+
+    Attributes
+    ----------
+    path
+        The file; None where there is none.
+    asked
+        Set when a signal asks for a reload.
+    """
+
+    node: GatewayNode
+    path: Path | None
+    load: Callable[[Path], GatewaySettings]
+    asked: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _changed_at_ns: int = attrs.field(init=False)
+
+    @_changed_at_ns.default
+    def _first_change(self) -> int:
+        return self._modified_ns()
+
+    async def async_run(self) -> None:
+        """Follow the file until cancelled."""
+        while True:
+            asked = await async_wait(self.asked, _LOOK_S)
+            self.asked.clear()
+            modified_ns = self._modified_ns()
+            if asked or modified_ns != self._changed_at_ns:
+                self._changed_at_ns = modified_ns
+                self._reload()
+
+    def _modified_ns(self) -> int:
+        if self.path is None:
+            return 0
+        try:
+            return self.path.stat().st_mtime_ns
+        except OSError as error:
+            logging.warning('event=settings_unseen cause=%r', str(error))
+            return 0
+
+    def _reload(self) -> None:
+        if self.path is None:
+            logging.warning('event=reload_asked changed=0')
+            return
+        try:
+            settings = self.load(self.path)
+        except SettingsInvalidError as error:
+            logging.error(
+                'event=settings_refused result=%d cause=%r',
+                int(error.code),
+                str(error),
+            )
+            return
+        changed = [
+            field.name
+            for field in attrs.fields(GatewaySettings)
+            if getattr(settings, field.name)
+            != getattr(self.node.settings, field.name)
+        ]
+        logging.warning(
+            'event=settings_reloaded changed=%s',
+            ','.join(changed) or 'nothing',
+        )
+        waiting = [name for name in changed if name not in _FOLLOWED]
+        if waiting:
+            logging.warning(
+                'event=settings_need_restart sections=%s',
+                ','.join(waiting),
+            )
+        self.node.follow_bounds(settings.bounds)
--- a/yuccavalve/formation/book.py
+++ b/yuccavalve/formation/book.py
@@ -42,6 +42,7 @@
 )
 from yuccavalve.formation.rebalance import Rebalancer
 from yuccavalve.formation.recruit import Recruiter
+from yuccavalve.formation.repairs import Repairs
 from yuccavalve.formation.staging import HostStaging
 from yuccavalve.ports.fleet import (
     EngineRecord,
@@ -53,6 +54,7 @@
 
 __all__ = ('FormationBook',)
 
+_MS = 1000
 _SERVING_STATES = frozenset((MemberState.READY, MemberState.OPEN))
 _TAKEN = frozenset((OrderOutcome.BEGUN, OrderOutcome.DONE))
 
@@ -65,11 +67,14 @@
     ----------
     health
         Tells which replicas to give up.
+    repairs
+        How long models lacked a replica that was given up.
     forming
         Replicas on their way, by name.
     """
 
     health: ReplicaHealth
+    repairs: Repairs = attrs.field(factory=Repairs)
     forming: dict[str, Forming] = attrs.field(factory=dict)
     _term: int = 0
     _leaving: dict[str, Ending] = attrs.field(factory=dict)
@@ -100,6 +105,7 @@
         self._left_at_s.clear()
         self._abandoned.clear()
         self._retired.clear()
+        self.repairs.clear()
         self._unreached_at_s.clear()
         self._sent_at_s.clear()
         self._recruiter.start_term(term)
@@ -347,6 +353,7 @@
     ) -> None:
         model = model_of(facts, replica)
         head = facts.engines.get(replica.head)
+        self.repairs.note_lost('' if model is None else model.name, self._now_s)
         if model is not None and head is not None:
             self._retired[replica.head] = (head.born_ms, model.name)
         logging.info(
@@ -415,10 +422,17 @@
             opened = head is not None and head.state is MemberState.OPEN
             if opened and head.epoch == forming.epoch:
                 self.forming.pop(forming.replica)
+                repaired_s = self.repairs.note_open(
+                    forming.model.name,
+                    self._now_s,
+                )
                 logging.info(
-                    'event=replica_open replica=%s model=%s',
+                    'event=replica_open replica=%s model=%s forming_ms=%d '
+                    'repaired_ms=%d',
                     forming.replica,
                     forming.model.name,
+                    (self._now_s - forming.began_at_s) * _MS,
+                    (repaired_s or 0) * _MS,
                 )
             elif len(forming.ready) == len(forming.members):
                 forming.opened = True
--- a/yuccavalve/gateway/budget.py
+++ b/yuccavalve/gateway/budget.py
@@ -37,6 +37,14 @@
     daemons: Callable[[], int]
     _budgets: dict[str, WindowedRetryBudget] = attrs.field(factory=dict)
 
+    def follow(self, terms: BudgetTerms) -> None:
+        """Go by changed terms from now on; what was spent still counts."""
+        self.terms = terms
+        for budget in self._budgets.values():
+            budget.ratio = terms.ratio * BUDGET_PART
+            budget.extra = terms.extra * BUDGET_PART
+            budget.window_s = terms.window_s
+
     def earn(self, service: str, now_s: float) -> None:
         """Count a request for a service."""
         self._budget(service).earn(now_s)
--- a/yuccavalve/gateway/const.py
+++ b/yuccavalve/gateway/const.py
@@ -38,6 +38,8 @@
 BUDGET_PART: Final = 0.8
 # A request without a deadline, or with a longer one, gets this.
 MAX_DEADLINE_S: Final = 600.0
+# Engines that one line of the log names.
+MAX_NAMED: Final = 6
 # Least time for which an engine is worth asking.
 LEAST_OFFER_S: Final = 0.02
 # Idle connections of callers are kept longer than any limit on their idling
--- a/yuccavalve/gateway/place.py
+++ b/yuccavalve/gateway/place.py
@@ -17,11 +17,13 @@
 from yuccavalve.gateway.const import (
     FAR_PENALTY,
     LOAD_PER_SLOT,
+    MAX_NAMED,
     PLAIN_LOAD_PER_SLOT,
     RETRY_BUSY_S,
     RETRY_NO_REPLICA_S,
     RETRY_SPREAD,
 )
+from yuccavalve.observability.explain import UNSOUND_WORD
 from yuccavalve.gateway.models import Routed
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.results import ResultCode
@@ -71,7 +73,7 @@
                 ResultCode.NO_REPLICA,
                 RETRY_NO_REPLICA_S,
                 f'{len(candidates)} engines serve, {len(untried)} not tried, '
-                'none of them sound',
+                f'none of them sound{_named(untried, sound)}',
             )
         best = min(sound, key=lambda each: self._cost(service, each))
         if self._is_full(service, best):
@@ -80,7 +82,8 @@
                 ResultCode.QUEUE_FULL,
                 RETRY_BUSY_S,
                 f'{len(sound)} sound engines of {len(candidates)}, the freest '
-                f'has {load} requests for {_slots(service, best)} slots',
+                f'has {load} requests for {_slots(service, best)} slots'
+                f'{_named(untried, sound)}',
             )
         return best
 
@@ -120,3 +123,14 @@
 def _slots(service: ServiceProfile, engine: EngineRecord) -> int:
     slots = engine.slots if service.engine is None else service.engine.slots
     return max(1, slots)
+
+
+def _named(
+    untried: Sequence[EngineRecord],
+    sound: Sequence[EngineRecord],
+) -> str:
+    """Return words that name the engines that are not sound, for the log."""
+    unsound = [each.engine for each in untried if each not in sound]
+    if not unsound:
+        return ''
+    return f', {UNSOUND_WORD} {" ".join(unsound[:MAX_NAMED])}'
--- a/yuccavalve/gateway/server.py
+++ b/yuccavalve/gateway/server.py
@@ -10,6 +10,7 @@
 from yuccavalve.access import key_digest
 from yuccavalve.clock import Clock
 from yuccavalve.exceptions import RequestRefusedError
+from yuccavalve.gateway.budget import BudgetBook
 from yuccavalve.gateway.const import (
     MAX_DEADLINE_S,
     RETRY_NO_REPLICA_S,
@@ -91,6 +92,11 @@
         self._random = random
         self.running = RunningRequests()
 
+    @property
+    def budgets(self) -> BudgetBook:
+        """Return the retry budgets of services."""
+        return self._dispatcher.budgets
+
     async def __call__(
         self,
         scope: dict[str, Any],
--- a/yuccavalve/observability/explain.py
+++ b/yuccavalve/observability/explain.py
@@ -6,7 +6,10 @@
 
 import attrs
 
-__all__ = ('LogLine', 'read_lines', 'story')
+__all__ = ('UNSOUND_WORD', 'LogLine', 'read_lines', 'story')
+
+# Comes before the engines that a refusal names as not sound.
+UNSOUND_WORD = 'unsound:'
 
 # How long before a request's first line something may have caused its end.
 _BEFORE_S = 6.0
@@ -100,6 +103,7 @@
         return []
     processes = {line.process for line in own}
     engines = {line.fields.get('engine') for line in own} - {None, ''}
+    engines.update(*map(_unsound, own))
     begin_s = min(_began_s(line) for line in own) - _BEFORE_S
     end_s = max(line.day_s for line in own)
     return [
@@ -113,6 +117,12 @@
     ]
 
 
+def _unsound(line: LogLine) -> list[str]:
+    """Return the engines that a refusal names as not sound."""
+    _, _, named = str(line.fields.get('cause', '')).partition(UNSOUND_WORD)
+    return named.split()
+
+
 def _began_s(line: LogLine) -> float:
     """Return when the request that a line ends had begun."""
     return line.day_s - line.fields.get('total_ms', 0) / _MS
--- a/yuccavalve/observability/logs.py
+++ b/yuccavalve/observability/logs.py
@@ -78,13 +78,14 @@
 
     Attributes
     ----------
-    left_out
-        Lines that were not written since the last count.
+    left_out, left_out_total
+        Lines that were not written since the last count, and in all.
     """
 
     ordinary_per_s: int = ORDINARY_LINES_PER_S
     all_per_s: int = ALL_LINES_PER_S
     left_out: int = 0
+    left_out_total: int = 0
     _second: int = -1
     _ordinary: int = 0
     _lines: int = 0
@@ -101,12 +102,17 @@
             not ordinary or self._ordinary < self.ordinary_per_s
         )
         if not allowed:
-            self.left_out += 1
+            self.leave_out()
             return False
         self._lines += 1
         self._ordinary += ordinary
         return True
 
+    def leave_out(self) -> None:
+        """Count a line that is not written."""
+        self.left_out += 1
+        self.left_out_total += 1
+
     def take_left_out(self) -> int:
         """Return the count of lines left out and begin anew."""
         left_out = self.left_out
@@ -156,7 +162,7 @@
         try:
             self._lines.put_nowait(line)
         except queue.Full:
-            self._budget.left_out += 1
+            self._budget.leave_out()
 
     def _count_line(self, record: std_logging.LogRecord, count: int) -> str:
         """Return the line that says how many were left out."""
--- a/yuccavalve/observability/metrics.py
+++ b/yuccavalve/observability/metrics.py
@@ -45,7 +45,9 @@
         self.requests: Counter[tuple[str, str, int]] = Counter()
         self.first_byte: dict[str, HdrHistogram] = {}
         self.between: dict[str, HdrHistogram] = {}
+        self._times: dict[str, dict[str, HdrHistogram]] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._gauges_by: dict[str, _Counters] = {}
         self._counters: dict[str, _Counters] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
@@ -63,6 +65,15 @@
         """Add counters by labels that are read when asked for."""
         self._counters[name] = (labels, read)
 
+    def gauges_by(
+        self,
+        name: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], int]],
+    ) -> None:
+        """Add gauges by labels that are read when asked for."""
+        self._gauges_by[name] = (labels, read)
+
     def observe(self, measured: Measured) -> None:
         """Count an ended request."""
         key = (measured.service, measured.request_class, measured.code)
@@ -72,6 +83,10 @@
         if measured.between_events_ms is not None:
             _record(self.between, measured.service, measured.between_events_ms)
 
+    def record_ms(self, name: str, service: str, measured_ms: float) -> None:
+        """Add a time to a histogram by service."""
+        _record(self._times.setdefault(name, {}), service, measured_ms)
+
     def text(self) -> bytes:
         """Return the metrics in Prometheus's text format."""
         return generate_latest(self._registry)
@@ -88,15 +103,10 @@
         yield requests
         yield from _summaries('first_byte_ms', self.first_byte)
         yield from _summaries('between_events_ms', self.between)
-        for name, (labels, read_all) in self._counters.items():
-            family = CounterMetricFamily(
-                f'yuccavalve_{name}',
-                name,
-                labels=labels,
-            )
-            for words, count in read_all().items():
-                family.add_metric(words, count)
-            yield family
+        for times, histograms in self._times.items():
+            yield from _summaries(times, histograms)
+        yield from _families(CounterMetricFamily, self._counters)
+        yield from _families(GaugeMetricFamily, self._gauges_by)
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(f'yuccavalve_{name}', name, read())
 
@@ -113,6 +123,17 @@
     histogram.record_value(max(_LOWEST_MS, round(measured_ms)))
 
 
+def _families(
+    kind: type[CounterMetricFamily | GaugeMetricFamily],
+    readings: Mapping[str, _Counters],
+) -> Iterator[Metric]:
+    for name, (labels, read_all) in readings.items():
+        family = kind(f'yuccavalve_{name}', name, labels=labels)
+        for words, count in read_all().items():
+            family.add_metric(words, count)
+        yield family
+
+
 def _summaries(
     name: str,
     histograms: dict[str, HdrHistogram],
