--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -14,7 +14,7 @@
 import httptools
 
 from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
-from yuccavalve.ports.backend import HeaderFields
+from yuccavalve.ports.backend import BodyFraming, HeaderFields
 
 __all__ = ('HttpAnswer', 'HttpCall', 'async_exchange')
 
@@ -63,9 +63,8 @@
         HTTP status, 0 until the head is received.
     headers
         Fields in order, names in lower case.
-    framed
-        Whether the head gives the framing of the body; otherwise the body
-        ends with the connection.
+    framing
+        How the end of the body is marked, unknown until the head is received.
     complete
         True once the whole body is received.
     """
@@ -74,7 +73,7 @@
         """Prepare to receive an answer."""
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
-        self.framed = False
+        self.framing = BodyFraming.UNKNOWN
         self.complete = False
         self._method = method
         self._parser = httptools.HttpResponseParser(self)
@@ -150,7 +149,7 @@
 
     def eof_received(self) -> bool:
         """Complete a body that ends with the connection."""
-        if self._head_received and not self.framed:
+        if self.framing is BodyFraming.CONNECTION:
             self.complete = True
         self._wake()
         return False
@@ -182,14 +181,8 @@
             return
         self.status = status
         self._head_received = True
-        fields_by_name = dict(self.headers)
-        chunked = (
-            b'chunked' in fields_by_name.get(b'transfer-encoding', b'').lower()
-        )
-        self.framed = chunked or b'content-length' in fields_by_name
-        if self._method == 'HEAD' or status in _BODILESS_STATUSES:
-            self.framed = True
-            self.complete = True
+        self.framing = self._body_framing()
+        self.complete = self.framing is BodyFraming.NO_BODY
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
@@ -202,6 +195,16 @@
         if self._head_received:
             self.complete = True
 
+    def _body_framing(self) -> BodyFraming:
+        if self._method == 'HEAD' or self.status in _BODILESS_STATUSES:
+            return BodyFraming.NO_BODY
+        fields_by_name = dict(self.headers)
+        if b'chunked' in fields_by_name.get(b'transfer-encoding', b'').lower():
+            return BodyFraming.CHUNKS
+        if b'content-length' in fields_by_name:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION
+
     def _is_closing(self) -> bool:
         return self._transport is None or self._transport.is_closing()
 
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -185,6 +185,7 @@
             routed.sent_count -= 1
             raise
         answer = attempt.answer
+        routed.framing = answer.framing
         if not answer.is_authentic:
             raise BackendLostError(f'not an answer: status {answer.status}')
         if answer.not_run:
@@ -228,6 +229,7 @@
                 routed.record_event(now_s)
                 routed.last_event = last_event_id(whole) or routed.last_event
                 await async_send_part(routed, whole)
+        routed.partial_event_bytes = len(tail)
         await async_send_end(routed, tail)
 
     async def _async_relay_body(
--- a/yuccavalve/gateway/models.py
+++ b/yuccavalve/gateway/models.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from yuccavalve.ports.backend import HeaderFields
+from yuccavalve.ports.backend import BodyFraming, HeaderFields
 from yuccavalve.routing import Route
 
 __all__ = (
@@ -86,6 +86,11 @@
         Id of the last event that was relayed to the caller.
     longest_gap_s
         Longest time between two relayed events.
+    framing
+        How the end of the last engine's answer is marked.
+    partial_event_bytes
+        Size of an event that was incomplete when the last engine's answer
+        ended.
     """
 
     inbound: InboundRequest
@@ -110,6 +115,8 @@
     last_event_at_s: float = 0
     longest_gap_s: float = 0
     engine: str = ''
+    framing: BodyFraming = BodyFraming.UNKNOWN
+    partial_event_bytes: int = 0
     cause: str = ''
     close_connection: bool = False
 
--- a/yuccavalve/gateway/server.py
+++ b/yuccavalve/gateway/server.py
@@ -315,7 +315,7 @@
         logging.info(
             'event=request_ended request=%s route=%s workspace=%s result=%d '
             'engine=%s sent=%d first_ms=%d aim_ms=%d gap_ms=%d '
-            'total_ms=%d config=%d cause=%r',
+            'total_ms=%d config=%d framing=%s partial_event_bytes=%d cause=%r',
             routed.inbound.request_id,
             '' if routed.route is None else routed.route.name,
             routed.workspace,
@@ -327,6 +327,8 @@
             routed.longest_gap_s * _MS,
             (now_s - routed.arrived_at_s) * _MS,
             self._routing.version,
+            routed.framing,
+            routed.partial_event_bytes,
             getattr(outcome, 'text', ''),
         )
 
--- a/yuccavalve/ports/backend.py
+++ b/yuccavalve/ports/backend.py
@@ -1,6 +1,7 @@
 """Protocols for requests to backend servers and their answers."""
 
 from collections.abc import Sequence
+from enum import StrEnum
 from typing import Protocol
 
 import attrs
@@ -11,12 +12,23 @@
     'BackendAnswer',
     'BackendPort',
     'BackendRequest',
+    'BodyFraming',
     'HeaderFields',
 )
 
 HeaderFields = Sequence[tuple[bytes, bytes]]
 
 
+class BodyFraming(StrEnum):
+    """How the end of an answer's body is marked (RFC 9112, section 6)."""
+
+    UNKNOWN = ''
+    NO_BODY = 'no_body'
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+
+
 @attrs.frozen
 class BackendRequest:
     """A caller's request as it is sent to one backend server.
@@ -65,6 +77,7 @@
 
     status: int
     headers: HeaderFields
+    framing: BodyFraming
     not_run: bool
     is_authentic: bool
     replica_unusable: bool
