Reproduce streams that are taken for complete inside an event

The engine stand-in marks the end of its answers by chunks, by the end of the connection, or not at all when it resets the connection.

--- a/tests/platform/standin/__init__.py
+++ b/tests/platform/standin/__init__.py
@@ -1,6 +1,10 @@
 """Stand-in of the platform: its store and its engines, in one process."""
 
-from tests.platform.standin.engines import EngineOptions, EngineStandin
+from tests.platform.standin.engines import (
+    EngineOptions,
+    EngineStandin,
+    Framing,
+)
 from tests.platform.standin.fleet import FleetStandin
 from tests.platform.standin.store import StoreFaults, StoreStandin
 
@@ -8,6 +12,7 @@
     'EngineOptions',
     'EngineStandin',
     'FleetStandin',
+    'Framing',
     'StoreFaults',
     'StoreStandin',
 )
--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -1,8 +1,11 @@
 """Stand-in engines: members of replica groups, or plain services."""
 
 import asyncio
+import socket
+import struct
 import time
 from collections.abc import AsyncIterator, Mapping
+from enum import Enum
 from typing import Any
 
 import attrs
@@ -11,7 +14,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-__all__ = ('EngineOptions', 'EngineStandin')
+__all__ = ('EngineOptions', 'EngineStandin', 'Framing')
 
 _MS = 1000
 _OK = 200
@@ -26,6 +29,70 @@
 _NOT_RUN = {'Not-Executed': '1'}
 
 
+class Framing(Enum):
+    """How a stand-in engine marks the end of an answer, also a broken one.
+
+    CHUNKS ends with the last chunk, and without it when broken off; RESET
+    and CLOSE have neither a length nor chunks. When broken off, CLOSE ends
+    the connection in order and RESET resets it. CHUNKS_ENDED sends the last
+    chunk of a broken answer too.
+    """
+
+    CHUNKS = 'chunks'
+    CHUNKS_ENDED = 'chunks_ended'
+    CLOSE = 'close'
+    RESET = 'reset'
+
+
+class _UnframedResponse(Response):
+    """An answer with neither a length nor chunks."""
+
+    def __init__(
+        self,
+        parts: AsyncIterator[bytes],
+        headers: Mapping[str, str],
+        *,
+        resets: bool,
+    ) -> None:
+        """Store the parts of the body; ``resets`` is how it breaks off."""
+        super().__init__()
+        self._parts = parts
+        self._fields = headers
+        self._resets = resets
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Write to the connection itself; the server adds chunks."""
+        transport = scope['standin.transport']
+        lines = [f'{name}: {text}' for name, text in self._fields.items()]
+        head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', ''))
+        transport.write(head.encode())
+        try:
+            async for part in self._parts:
+                transport.write(part)
+        except ConnectionResetError:
+            if self._resets:
+                await asyncio.sleep(_POLL_S)
+                _reset(transport)
+        transport.close()
+
+
+class _WithTransport(Starlette):
+    """Lets answers write to the connection of their request."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve a request."""
+        if scope['type'] == 'http':
+            scope['standin.transport'] = send.__self__.transport
+        await super().__call__(scope, receive, send)
+
+
+def _reset(transport: asyncio.Transport) -> None:
+    connection = transport.get_extra_info('socket')
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+
+
 @attrs.frozen
 class EngineOptions:
     """Properties of a stand-in engine.
@@ -83,6 +150,8 @@
     break_after_events
         Number of events after which a stream breaks inside the next one;
         -1 for never.
+    framing
+        How the end of answers to requests is marked.
     omits_request_id
         Answers carry no request id, as if made for another request.
     runs
@@ -112,6 +181,7 @@
         self.order_delay_s = 0.0
         self.lose_answers = False
         self.break_after_events = -1
+        self.framing = Framing.CHUNKS
         self.omits_request_id = False
         self.running = 0
         self.runs: list[str] = []
@@ -125,7 +195,7 @@
         self.address = ''
         self._highest_epoch = 0
         self._tasks: set[asyncio.Task[None]] = set()
-        self.application = Starlette(
+        self.application = _WithTransport(
             routes=[
                 Route('/-/report', self._async_report),
                 Route('/-/order', self._async_order, methods=['POST']),
@@ -323,15 +393,29 @@
             headers.pop('Request-Id')
         if self.options.fabric_domain:
             last_event_id = int(request.headers.get('last-event-id', '0'))
-            return StreamingResponse(
-                self._async_events(last_event_id),
-                headers=headers,
-                media_type='text/event-stream',
-            )
+            return self._respond(self._async_events(last_event_id), headers)
         await asyncio.sleep(self.options.token_s)
         if self.lose_answers:
             await asyncio.sleep(_LOST_ANSWER_S)
-        return Response(b'answer to ' + body, headers=headers)
+        if self.framing is Framing.CHUNKS:
+            return Response(b'answer to ' + body, headers=headers)
+        return self._respond(self._async_plain_parts(body), headers)
+
+    async def _async_plain_parts(self, body: bytes) -> AsyncIterator[bytes]:
+        yield b'answer to '
+        if self.break_after_events >= 0:
+            raise ConnectionResetError('answer broken on purpose')
+        yield body
+
+    def _respond(
+        self, parts: AsyncIterator[bytes], headers: Mapping[str, str]
+    ) -> Response:
+        if self.framing in {Framing.CLOSE, Framing.RESET}:
+            resets = self.framing is Framing.RESET
+            return _UnframedResponse(parts, headers, resets=resets)
+        return StreamingResponse(
+            parts, headers=headers, media_type='text/event-stream'
+        )
 
     def _refuse(self, request: Request) -> Response | None:
         if self._is_misdirected(request):
@@ -368,6 +452,8 @@
                     await asyncio.sleep(_POLL_S)
                 if number - 1 == self.break_after_events:
                     yield b'id: %d\nda' % number
+                    if self.framing is Framing.CHUNKS_ENDED:
+                        return
                     raise ConnectionResetError('stream broken on purpose')
                 yield b'id: %d\ndata: word%d\n\n' % (number, number)
         finally:
