--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -357,13 +357,14 @@
         routed.cause = outcome if error is None else f'{outcome}: {error}'
         logging.info(
             'event=attempt_failed request=%s engine=%s outcome=%s sent=%d '
-            'load=%d age_ms=%d cause=%r',
+            'load=%d age_ms=%d framing=%s cause=%r',
             routed.inbound.request_id,
             attempt.engine.engine,
             outcome,
             routed.sent_count,
             self.activity.load(attempt.run.key),
             (self.clock.now_s() - self.selector.view.read_at_s) * 1000,
+            '' if attempt.answer is None else attempt.answer.framing,
             '' if error is None else str(error),
         )
 
