Don't complete a stream that its engine ended inside an event

Callers saw status 200, the engine's signature and a body that stopped inside an event, with a proper end of the chunks: a broken answer that looked whole.

Cause: the relay took the end of the body for the end of the stream. When an engine ended its connection in order (no length, no chunks), or ended its chunks, inside an event, the exchange rightly reported the end of the body, and the relay sent the incomplete event as the last part of a complete answer. Class of fault: the end of a transport taken for the end of a message.

Change: one splitter of events in yuccavalve/events.py decides whether a stream is complete. A stream that ends inside an event is lost like one whose connection was reset: it is resumed elsewhere or ends without its last chunk.

--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from absl import logging
 
 from yuccavalve.clock import Clock
+from yuccavalve.events import EventSplitter, last_event_id
 from yuccavalve.exceptions import (
     BackendLostError,
     BackendNotReachedError,
@@ -27,7 +28,6 @@
     MIN_ATTEMPT_S,
     RETRY_AFTER_BUSY_S,
 )
-from yuccavalve.gateway.events import last_event_id, whole_events
 from yuccavalve.gateway.models import RoutedRequest
 from yuccavalve.gateway.respond import (
     async_send_end,
@@ -186,6 +186,7 @@
             raise
         answer = attempt.answer
         routed.framing = answer.framing
+        routed.partial_event_bytes = 0
         if not answer.is_authentic:
             raise BackendLostError(f'not an answer: status {answer.status}')
         if answer.not_run:
@@ -217,20 +218,33 @@
     ) -> None:
         if not routed.response_began:
             await async_send_start(routed, answer.status, answer.headers)
-        tail = b''
+        splitter = EventSplitter()
+        try:
+            await self._async_forward(routed, attempt, answer, splitter)
+        finally:
+            routed.partial_event_bytes = splitter.partial_bytes
+        splitter.check_complete()
+        await async_send_end(routed, splitter.rest)
+
+    async def _async_forward(
+        self,
+        routed: RoutedRequest,
+        attempt: _Attempt,
+        answer: BackendAnswer,
+        splitter: EventSplitter,
+    ) -> None:
+        """Relay whole events until the body ends."""
         while True:
             chunk = await answer.async_read()
             if not chunk:
-                break
+                return
             now_s = self.clock.now_s()
             self.activity.record_progress(attempt.run, now_s)
-            whole, tail = whole_events(tail + chunk)
+            whole = splitter.split(chunk)
             if whole:
                 routed.record_event(now_s)
                 routed.last_event = last_event_id(whole) or routed.last_event
                 await async_send_part(routed, whole)
-        routed.partial_event_bytes = len(tail)
-        await async_send_end(routed, tail)
 
     async def _async_relay_body(
         self,
