Give up answers whose heads, chunk extensions or trailers don't end

An engine in trouble may send bytes without end. The exchange bounded only the body: a status line, field, interim head, chunk size, chunk extension or trailer without end was read until the request's time limit, and fields were kept in memory.

Bytes that aren't body are now bounded by 64 KiB and 16 for each byte of body; the connection is closed there. An answer that switches protocols raised an error that was not handled; it is lost like any other that isn't an answer.

--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -19,6 +19,9 @@
 __all__ = ('HttpAnswer', 'HttpCall', 'async_exchange')
 
 _MAX_BUFFERED_BYTES = 262144
+# Bytes other than the body: heads, chunk sizes and extensions, trailers.
+_MAX_OVERHEAD_BYTES = 65536
+_MAX_OVERHEAD_PER_BODY_BYTE = 16
 _USER_TIMEOUT_MS = 5000
 _BODILESS_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
@@ -79,6 +82,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._parts: list[bytes] = []
         self._buffered_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._error = ''
         self._head_received = False
         self._waiter: asyncio.Future[None] | None = None
@@ -135,11 +140,16 @@
         """Parse received bytes; those after the answer are dropped."""
         if self.complete or self._error:
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self._fail(f'not HTTP: {error!r}')
             self.close()
+        self._check_overhead()
         if (
             self._buffered_bytes > _MAX_BUFFERED_BYTES
             and not self._is_closing()
@@ -189,12 +199,23 @@
         if not self.complete:
             self._parts.append(body)
             self._buffered_bytes += len(body)
+            self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
         if self._head_received:
             self.complete = True
 
+    def _check_overhead(self) -> None:
+        """Give up an answer that consists mostly of other bytes than body."""
+        limit_bytes = (
+            _MAX_OVERHEAD_BYTES + self._body_bytes * _MAX_OVERHEAD_PER_BODY_BYTE
+        )
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if overhead_bytes > limit_bytes and not self.complete:
+            self._fail(f'{overhead_bytes} bytes besides the body')
+            self.close()
+
     def _body_framing(self) -> BodyFraming:
         if self._method == 'HEAD' or self.status in _BODILESS_STATUSES:
             return BodyFraming.NO_BODY
