Drop the trailers of an engine's answer

Fields after the body were added to those of the head if they came in the same packet, so that a trailer could stand for the signature or for the statement that a request has not run. The test failed before. An answer that switches protocols has a test now too.

--- a/tests/adapters/test_exchange.py
+++ b/tests/adapters/test_exchange.py
@@ -107,3 +107,26 @@
         await self.server.wait_closed()
         with self.assertRaises(BackendNotReachedError):
             await self._async_read()
+
+    async def test_trailers_are_not_taken_for_header_fields(self) -> None:
+        self.answer_bytes = _CHUNKED.removesuffix(b'\r\n') + (
+            b'x-signed: forged\r\n\r\n'
+        )
+        call = HttpCall(self.address, 'GET', b'/x', [(b'host', b'h')])
+        answer = await async_exchange(call)
+        body = await answer.async_read_all(_LIMIT_BYTES)
+        self.assertEqual(body, b'hello')
+        self.assertNotIn(b'x-signed', dict(answer.headers))
+
+    async def test_answer_that_switches_protocols_is_lost(self) -> None:
+        self.answer_bytes = b'\r\n'.join(
+            (
+                b'HTTP/1.1 101 Other',
+                b'upgrade: x',
+                b'connection: upgrade',
+                b'',
+                b'hello',
+            )
+        )
+        with self.assertRaises(BackendLostError):
+            await self._async_read()
--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -179,8 +179,8 @@
             self.headers.clear()
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Collect a header field."""
-        if self.complete:
+        """Collect a header field; trailers are dropped."""
+        if self._head_received:
             return
         self.headers.append((name.lower(), value.rstrip(b' \t')))
 
