Read the product's own backend servers by the gateway's exchange

Both paths now read answers by one exchange, so that framing, the end of a connection and the bounds are decided once. A body without a length is whole only if its server ends the connection in order: not after a reset, nor when this side closes it. Polled reading stays as it was, on top of the exchange.

--- a/tests/support/byte_server.py
+++ b/tests/support/byte_server.py
@@ -19,6 +19,8 @@
     repeated_bytes
         What is sent after that until the caller closes the connection; empty
         to end the connection instead.
+    holds
+        Whether the connection stays open until the caller closes it.
     resets
         Whether the connection is reset instead of closed.
     request_head
@@ -33,6 +35,7 @@
         """Prepare a server that ends connections at once."""
         self.answer_bytes = b''
         self.repeated_bytes = b''
+        self.holds = False
         self.resets = False
         self.request_head = b''
         self.sent_bytes = 0
@@ -62,6 +65,9 @@
         try:
             self.request_head = await reader.readuntil(b'\r\n\r\n')
             await self._async_send(writer)
+            if self.holds:
+                await reader.read()
+                self.caller_closed.set()
         except (OSError, asyncio.IncompleteReadError):
             self.caller_closed.set()
         writer.close()
--- a/yuccavalve/adapters/backend.py
+++ b/yuccavalve/adapters/backend.py
@@ -2,7 +2,7 @@
 
 A pooled connection may have died unnoticed, and the client library resends
 a request whose pooled connection was lost; a new connection for each request
-avoids both. Bodies are read as they arrive and decoded by ``httptools``, many
+avoids both. Answers are read by the exchange that the gateway uses too, many
 chunks at a time.
 """
 
@@ -11,15 +11,10 @@
 from collections.abc import Awaitable, Mapping
 from typing import Any, Protocol
 
-import aiosonic
 import attrs
-import httptools
-from aiosonic.exceptions import ConnectTimeout
-from aiosonic.pools import PoolConfig
-from aiosonic.timeout import Timeouts
 
-from yuccavalve.adapters.http import EXCHANGE_ERRORS, new_client
-from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
+from yuccavalve.adapters.exchange import HttpAnswer, HttpCall, async_exchange
+from yuccavalve.exceptions import BackendLostError
 
 __all__ = (
     'BackendCall',
@@ -29,15 +24,21 @@
 )
 
 _READ_BYTES = 65536
-_POOL_SIZE = 8192
 _CONNECT_TIMEOUT_S = 1.5
 _MAX_EMPTY_POLLS = 6
-_BODILESS_STATUSES = frozenset((204, 304))
 
 
 @attrs.frozen
 class BackendCall:
-    """A request to a backend server."""
+    """A request to a backend server.
+
+    Attributes
+    ----------
+    path
+        Path and query, encoded as they are sent.
+    first_byte_s
+        Time in seconds within which the head of the answer must arrive.
+    """
 
     method: str
     address: str
@@ -57,18 +58,67 @@
         """Wait for the next step, or a sooner one after an empty poll."""
 
 
-class _BodyDecoder:
-    """Collects what the parser decodes."""
+class _PolledAnswer(HttpAnswer):
+    """An answer that is read at steps of a schedule while polling."""
 
-    def __init__(self) -> None:
-        self.parts: list[bytes] = []
-        self.complete = False
+    def __init__(self, method: str) -> None:
+        """Start without a schedule."""
+        super().__init__(method)
+        self.schedule: PollSchedule | None = None
+        self._polled = False
+        self._descriptor = -1
 
-    def on_body(self, body: bytes) -> None:
-        self.parts.append(body)
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport and its socket's descriptor."""
+        super().connection_made(transport)
+        connection: Any = transport.get_extra_info('socket')
+        self._descriptor = connection.fileno()
+
+    async def _async_wait(self) -> None:
+        """Wait for data, at the next step or as soon as possible."""
+        schedule = self.schedule
+        if schedule is None or self._is_closing():
+            await super()._async_wait()
+            return
+        if schedule.is_polling():
+            self._polled = True
+            self._transport.pause_reading()
+            if await self._async_poll(schedule):
+                return
+        if self._error or self.complete:
+            return
+        if self._polled and not self._is_closing():
+            self._polled = False
+            self._transport.resume_reading()
+        await super()._async_wait()
 
-    def on_message_complete(self) -> None:
-        self.complete = True
+    async def _async_poll(self, schedule: PollSchedule) -> bool:
+        """Read at a step; return whether there was anything to read."""
+        for attempt in range(_MAX_EMPTY_POLLS):
+            await schedule.async_wait(after_empty_read=attempt > 0)
+            if self._is_closing():
+                return False
+            try:
+                raw = os.read(self._descriptor, _READ_BYTES)
+            except BlockingIOError:
+                if not schedule.is_polling():
+                    return False
+            except OSError as error:
+                self._fail(repr(error))
+                self.close()
+                return True
+            else:
+                self._receive(raw)
+                return True
+        return False
+
+    def _receive(self, raw: bytes) -> None:
+        if raw:
+            self.data_received(raw)
+            return
+        self.eof_received()
+        self._fail('connection ended')
+        self.close()
 
 
 class BackendStream:
@@ -78,35 +128,18 @@
     ----------
     status
         HTTP status.
-    complete
-        True once the framing has marked the end of the body.
+    headers
+        Fields by name in lower case.
     """
 
-    def __init__(self, response: Any, method: str) -> None:
-        """Take over the connection of the library's response."""
-        self.status: int = response.status_code
-        self.headers: Mapping[str, str] = response.headers
-        self.complete = False
-        self._response = response
-        # The library yields single chunks only; the relay reads everything
-        # that has arrived at once.
-        self._connection = response._connection  # noqa: SLF001, WPS437
-        self._decoder = _BodyDecoder()
-        self._parser = httptools.HttpResponseParser(self._decoder)
-        self._reader = self._connection.reader if self._connection else None
-        self._transport: Any = None
-        self._descriptor = -1
-        if self._connection is not None and self._connection.writer:
-            self._transport = self._connection.writer.transport
-            socket = self._transport.get_extra_info('socket')
-            self._descriptor = socket.fileno()
-        self._schedule: PollSchedule | None = None
-        self._polled = False
-        self._reader_empty = False
-        if method == 'HEAD' or self.status in _BODILESS_STATUSES:
-            self.complete = True
-        else:
-            self._start_parser()
+    def __init__(self, answer: _PolledAnswer) -> None:
+        """Take over an answer."""
+        self.status = answer.status
+        self.headers: Mapping[str, str] = {
+            name.decode('latin-1'): text.decode('latin-1')
+            for name, text in answer.headers
+        }
+        self._answer = answer
 
     async def async_read(self) -> bytes:
         """Return the next chunk of the body; empty once it has ended.
@@ -116,17 +149,7 @@
         BackendLostError
             When the connection ends before the body does.
         """
-        while not self.complete:
-            try:
-                raw = await self._async_read_raw()
-            except OSError as error:
-                raise BackendLostError(repr(error)) from error
-            if not raw:
-                raise BackendLostError('connection ended inside the body')
-            body = self._decode(raw)
-            if body:
-                return body
-        return b''
+        return await self._answer.async_read()
 
     async def async_read_all(self, idle_s: float, limit_bytes: int) -> bytes:
         """Return the rest of the body."""
@@ -147,93 +170,16 @@
 
     def poll_by(self, schedule: PollSchedule) -> None:
         """Read only at steps of the schedule while polling; see ``pacing``."""
-        self._schedule = schedule
+        self._answer.schedule = schedule
 
     def close(self) -> None:
         """Abort the connection; unread data is discarded."""
-        if self._transport is not None:
-            self._transport.abort()
-
-    async def _async_read_raw(self) -> bytes:
-        """Read what has arrived, at the next step or as soon as possible."""
-        schedule = self._schedule
-        if schedule is not None and self._try_take_socket(schedule):
-            raw = await self._async_poll(schedule)
-            if raw is not None:
-                return raw
-        if self._polled and not self._transport.is_closing():
-            self._polled = False
-            self._transport.resume_reading()
-        raw = await self._reader.read(_READ_BYTES)
-        self._reader_empty = len(raw) < _READ_BYTES
-        return raw
-
-    async def _async_poll(self, schedule: PollSchedule) -> bytes | None:
-        """Read at a step; None means that the event loop reads again."""
-        for attempt in range(_MAX_EMPTY_POLLS):
-            await schedule.async_wait(after_empty_read=attempt > 0)
-            if self._transport.is_closing():
-                return b''
-            try:
-                return os.read(self._descriptor, _READ_BYTES)
-            except BlockingIOError:
-                if not schedule.is_polling():
-                    return None
-        return None
-
-    def _try_take_socket(self, schedule: PollSchedule) -> bool:
-        """Return whether the stream is polled, taking over the socket if due.
-
-        The socket is taken from the event loop only once the reader's buffer
-        is empty.
-        """
-        if self._polled:
-            return True
-        ready = self._reader_empty and not self._reader.at_eof()
-        if (
-            not schedule.is_polling()
-            or not ready
-            or self._transport.is_closing()
-        ):
-            return False
-        self._reader_empty = False
-        self._polled = True
-        self._transport.pause_reading()
-        return True
-
-    def _start_parser(self) -> None:
-        chunked = getattr(self._response, 'chunked', False)
-        length = self.headers.get('content-length')
-        if chunked:
-            head = b'transfer-encoding: chunked'
-        elif length:
-            head = f'content-length: {int(length)}'.encode()
-        else:
-            raise BackendLostError('answer without a length')
-        try:
-            self._parser.feed_data(b'HTTP/1.1 200 OK\r\n%b\r\n\r\n' % head)
-        except httptools.HttpParserError as error:
-            raise BackendLostError(repr(error)) from error
-        self.complete = self._decoder.complete
-
-    def _decode(self, raw: bytes) -> bytes:
-        try:
-            self._parser.feed_data(raw)
-        except httptools.HttpParserError as error:
-            raise BackendLostError(repr(error)) from error
-        self.complete = self._decoder.complete
-        parts = self._decoder.parts
-        self._decoder.parts = []
-        return parts[0] if len(parts) == 1 else b''.join(parts)
+        self._answer.close()
 
 
 class BackendClient:
     """Opens a stream for each request."""
 
-    def __init__(self) -> None:
-        """Prepare a client that never reuses a connection."""
-        self._client: aiosonic.HTTPClient | None = None
-
     async def async_open(self, call: BackendCall) -> BackendStream:
         """Send a request and wait for the head of its answer.
 
@@ -244,24 +190,22 @@
         BackendLostError
             When the backend server may have run the request.
         """
-        limit_s = call.first_byte_s
-        request = self._ensure_client().request(
-            f'http://{call.address}{call.path}',
-            call.method,
-            headers=dict(call.headers),
-            data=call.body,
-            stream=True,
-            timeouts=Timeouts(_CONNECT_TIMEOUT_S, limit_s, None, limit_s),
-        )
+        answer = _PolledAnswer(call.method)
         try:
-            return BackendStream(await request, call.method)
-        except (ConnectionRefusedError, ConnectTimeout) as error:
-            raise BackendNotReachedError(repr(error)) from error
-        except EXCHANGE_ERRORS as error:
-            raise BackendLostError(repr(error)) from error
-
-    def _ensure_client(self) -> aiosonic.HTTPClient:
-        if self._client is None:
-            pool = PoolConfig(size=_POOL_SIZE, max_conn_requests=0)
-            self._client = new_client(pool)
-        return self._client
+            async with asyncio.timeout(call.first_byte_s):
+                await async_exchange(_http_call(call), answer)
+        except TimeoutError as error:
+            raise BackendLostError('no answer in time') from error
+        return BackendStream(answer)
+
+
+def _http_call(call: BackendCall) -> HttpCall:
+    fields = {'host': call.address, **call.headers}
+    return HttpCall(
+        call.address,
+        call.method,
+        call.path.encode('latin-1'),
+        [(name.encode(), text.encode()) for name, text in fields.items()],
+        call.body,
+        min(_CONNECT_TIMEOUT_S, call.first_byte_s),
+    )
--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -249,9 +249,16 @@
             self._waiter = None
 
 
-async def async_exchange(call: HttpCall) -> HttpAnswer:
+async def async_exchange(
+    call: HttpCall, answer: HttpAnswer | None = None
+) -> HttpAnswer:
     """Send a request on a new connection and wait for the answer's head.
 
+    Parameters
+    ----------
+    answer
+        What the answer is read into; by default one that reads at once.
+
     Raises
     ------
     BackendNotReachedError
@@ -259,7 +266,8 @@
     BackendLostError
         When the server may have read the request.
     """
-    answer = HttpAnswer(call.method)
+    if answer is None:
+        answer = HttpAnswer(call.method)
     await _async_connect(call, answer)
     try:
         answer.send(call.encode())
