Read replies to JSON calls with bounds

The calls of the product's own path (engines, table service, command line) took a reply of any size, held heads and chunks in memory until the time limit, and raised errors that nobody handled for a status line without end and for deeply nested JSON. The client library has no bounds for these.

--- a/script/tools/cluster.py
+++ b/script/tools/cluster.py
@@ -100,8 +100,6 @@
             if process.popen.poll() is None:
                 process.resume()
                 process.kill()
-        await self._caller.async_close()
-        await self._operator.async_close()
         self._directory.cleanup()
 
     async def async_start_platform(self, lag_s: float = 5) -> Process:
--- a/yuccavalve/adapters/__init__.py
+++ b/yuccavalve/adapters/__init__.py
@@ -1,4 +1,1 @@
-"""HTTP adapters of the ports.
-
-They use different HTTP clients, so that each is imported by itself.
-"""
+"""HTTP adapters of the ports; each is imported by itself."""
--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -1,8 +1,9 @@
 """One HTTP exchange on a connection of its own.
 
-``aiosonic`` rewrites headers, decodes bodies and resends a request whose
-pooled connection was lost. Requests that are relayed to engines must be sent
-unchanged and at most once, so this minimal client is used for them:
+``aiosonic`` rewrites headers, decodes bodies, resends a request whose pooled
+connection was lost and bounds neither heads nor bodies. Requests must be sent
+unchanged and at most once, and answers may never end, so daemons use this
+minimal client:
 ``httptools`` parses and an ``asyncio`` transport carries the bytes.
 """
 
--- a/yuccavalve/adapters/http.py
+++ b/yuccavalve/adapters/http.py
@@ -1,40 +1,23 @@
-"""JSON calls over HTTP, each sent at most once.
-
-The client library resends a dropped request if its method is idempotent, so
-every control call is a POST. It also reuses a connection whose exchange was
-cancelled, and then takes the late answer for that of the next call, so every
-call has a connection of its own. Each call sets all of the library's timeouts,
-so that its defaults never apply.
-"""
+"""JSON calls over HTTP, each sent at most once on a connection of its own."""
 
 import asyncio
 import json
 from typing import Any, Final
 
-import aiosonic
 import attrs
-from aiosonic.exceptions import AiosonicError, ConnectTimeout
-from aiosonic.pools import PoolConfig
-from aiosonic.timeout import Timeouts
-
-from yuccavalve.adapters.resolver import IpAddressResolver
-
-__all__ = (
-    'EXCHANGE_ERRORS',
-    'CallFailedError',
-    'HttpJsonClient',
-    'Reply',
-    'new_client',
-)
 
-EXCHANGE_ERRORS: Final = (
-    AiosonicError,
-    OSError,
+from yuccavalve.adapters.exchange import HttpAnswer, HttpCall, async_exchange
+from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
+
+__all__ = ('CallFailedError', 'HttpJsonClient', 'Reply')
+
+_EXCHANGE_ERRORS: Final = (
+    BackendLostError,
+    TimeoutError,
     ValueError,
-    asyncio.IncompleteReadError,
+    RecursionError,
 )
-
-_POOL_SIZE = 1024
+_MAX_REPLY_BYTES: Final = 33554432
 # Request and response head of a call together.
 _HEADS_BYTES = 334
 
@@ -73,11 +56,10 @@
     def __init__(self, timeout_s: float, key: str = '') -> None:
         """Store the timeout and the bearer key."""
         self._timeout_s = timeout_s
-        self._headers = {'content-type': 'application/json'}
+        self._headers = [(b'content-type', b'application/json')]
         if key:
-            self._headers['authorization'] = f'Bearer {key}'
+            self._headers.append((b'authorization', f'Bearer {key}'.encode()))
         self.control_bytes = 0
-        self._client: aiosonic.HTTPClient | None = None
 
     async def async_post(
         self,
@@ -94,61 +76,33 @@
             When no complete answer arrived within the timeout.
         """
         limit_s = timeout_s or self._timeout_s
-        url = f'http://{address}{path}'
         encoded = json.dumps(body).encode()
+        call = HttpCall(
+            address,
+            'POST',
+            path.encode(),
+            [(b'host', address.encode()), *self._headers],
+            encoded,
+            limit_s,
+        )
         try:
             async with asyncio.timeout(limit_s):
-                return await self._async_exchange(url, encoded, limit_s)
-        except (ConnectionRefusedError, ConnectTimeout) as error:
-            raise CallFailedError(repr(error), sent=False) from error
-        except EXCHANGE_ERRORS as error:
+                return await self._async_exchange(call)
+        except BackendNotReachedError as error:
+            raise CallFailedError(str(error), sent=False) from error
+        except _EXCHANGE_ERRORS as error:
             raise CallFailedError(repr(error), sent=True) from error
 
-    async def async_close(self) -> None:
-        """Close the connections."""
-        if self._client is not None:
-            await self._client.connector.cleanup()
-
-    async def _async_exchange(
-        self,
-        url: str,
-        encoded: bytes,
-        limit_s: float,
-    ) -> Reply:
-        response = await self._ensure_client().request(
-            url,
-            'POST',
-            headers=dict(self._headers),
-            data=encoded,
-            timeouts=Timeouts(limit_s, limit_s, limit_s, limit_s),
-        )
-        connection = response._connection  # noqa: SLF001, WPS437
+    async def _async_exchange(self, call: HttpCall) -> Reply:
+        answer: HttpAnswer = await async_exchange(call)
         try:
-            text = await response.content()
+            text = await answer.async_read_all(_MAX_REPLY_BYTES)
         finally:
-            # Closed from this side: a server that is asked to close may do
-            # so before it has read the body, and the reset then destroys
-            # its answer.
-            connection.close()
-        self.control_bytes += len(encoded) + len(text) + _HEADS_BYTES
-        retry_after = response.headers.get('retry-after')
+            answer.close()
+        self.control_bytes += len(call.body) + len(text) + _HEADS_BYTES
+        retry_after = dict(answer.headers).get(b'retry-after')
         return Reply(
-            response.status_code,
+            answer.status,
             json.loads(text),
             float(retry_after) if retry_after else None,
         )
-
-    def _ensure_client(self) -> aiosonic.HTTPClient:
-        if self._client is None:
-            pool = PoolConfig(size=_POOL_SIZE, max_conn_requests=0)
-            self._client = new_client(pool)
-        return self._client
-
-
-def new_client(pool: PoolConfig) -> aiosonic.HTTPClient:
-    """Return a client that resolves no names and uses no proxy."""
-    connector = aiosonic.TCPConnector(
-        pool_configs={':default': pool},
-        resolver=IpAddressResolver(),
-    )
-    return aiosonic.HTTPClient(connector=connector, trust_env=False)
--- a/yuccavalve/cli/client.py
+++ b/yuccavalve/cli/client.py
@@ -76,14 +76,11 @@
 
     async def _async_call(self, name: str, body: dict[str, Any]) -> Reply:
         http_caller = HttpJsonClient(CALL_TIMEOUT_S, read_key(self.key_file))
-        try:
-            return await http_caller.async_post(
-                self.address,
-                f'/operator/v1/{name}',
-                body,
-            )
-        finally:
-            await http_caller.async_close()
+        return await http_caller.async_post(
+            self.address,
+            f'/operator/v1/{name}',
+            body,
+        )
 
 
 def _exit_with_error(reply: Reply) -> NoReturn:
