--- a/yuccavalve/requests/relay.py
+++ b/yuccavalve/requests/relay.py
@@ -13,6 +13,7 @@
 )
 from yuccavalve.clock import Clock
 from yuccavalve.const import HEADER_INCARNATION, STREAM_END_EVENT
+from yuccavalve.events import EventSplitter
 from yuccavalve.exceptions import (
     BackendLostError,
     BackendNotReachedError,
@@ -42,7 +43,6 @@
 _OK = 200
 _RESUME_PATH = '/v1/resume'
 _RESUME_FIRST_BYTE_S = 3.0
-_EVENT_END_LENGTH = len(EVENT_END)
 
 
 @attrs.define(eq=False)
@@ -256,20 +256,20 @@
         watched: WatchedStream,
     ) -> None:
         """Relay whole events; never send an incomplete one."""
-        tail = b''
+        splitter = EventSplitter()
         while True:
             chunk = await stream.async_read()
             if not chunk:
                 raise BackendLostError('answer without an end mark')
             watched.progress_at_s = self.clock.now_s()
-            chunk, tail = _split_events(tail + chunk if tail else chunk)
-            if not chunk:
+            events = splitter.split(chunk)
+            if not events:
                 continue
-            if chunk.endswith(STREAM_END_EVENT):
-                await self._async_finish(exchange, chunk)
+            if events.endswith(STREAM_END_EVENT):
+                await self._async_finish(exchange, events)
                 return
-            exchange.events += chunk.count(EVENT_END)
-            await self._async_send_events(exchange, chunk, watched)
+            exchange.events += events.count(EVENT_END)
+            await self._async_send_events(exchange, events, watched)
 
     async def _async_send_events(
         self,
@@ -303,15 +303,5 @@
             raise _relay_error(ResultCode.REPLICA_LOST, 'a host is missing')
 
 
-def _split_events(chunk: bytes) -> tuple[bytes, bytes]:
-    """Split data into whole events and the start of the next one."""
-    if chunk.endswith(EVENT_END):
-        return chunk, b''
-    end = chunk.rfind(EVENT_END) + _EVENT_END_LENGTH
-    if end < _EVENT_END_LENGTH:
-        return b'', chunk
-    return chunk[:end], chunk[end:]
-
-
 def _relay_error(code: ResultCode, text: str) -> RequestRefusedError:
     return RequestRefusedError(code, text)
