Let the soak's engines end broken answers in every way

The soak missed the incident's fault twice over: its engines only ever broke chunks off, and its check of a stream looked at event ids alone, so that a last event without its end passed.

--- a/script/tools/soak/guarantees.py
+++ b/script/tools/soak/guarantees.py
@@ -9,6 +9,7 @@
 
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
+_EVENT_END = b'\n\n'
 
 
 @attrs.frozen
@@ -104,4 +105,6 @@
     if ids != list(range(1, events + 1)):
         duplicates = [name for name, count in Counter(ids).items() if count > 1]
         found.append(f'events {ids}, duplicates {duplicates}')
+    if not each.body.endswith(_EVENT_END):
+        found.append('the last event is incomplete')
     return found
--- a/script/tools/soak/runner.py
+++ b/script/tools/soak/runner.py
@@ -14,7 +14,7 @@
 from script.tools.soak.guarantees import RequestOutcome, find_violations
 from script.tools.soak.schedule import Fault, FaultKind, schedule
 from tests.platform import builders
-from tests.platform.standin import FleetStandin
+from tests.platform.standin import EngineStandin, FleetStandin, Framing
 from tests.platform.support import Caller, free_address
 from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
 
@@ -314,8 +314,10 @@
             engine.silent = False
         elif fault.kind is FaultKind.ENGINE_BREAK:
             engine.break_after_events = fault.target % _EVENTS_PER_STREAM
+            engine.framing = _broken_framing(engine, fault)
             await asyncio.sleep(fault.duration_s)
             engine.break_after_events = -1
+            engine.framing = Framing.CHUNKS
         elif fault.kind is FaultKind.ENGINE_LATE_ORDERS:
             engine.order_delay_s = fault.duration_s
             await asyncio.sleep(fault.duration_s)
@@ -385,3 +387,15 @@
             builders.route(f'more-{self._version}', f'/more{self._version}/'),
         )
         await self.fleet.async_configure(changed)
+
+
+def _broken_framing(engine: EngineStandin, fault: Fault) -> Framing:
+    """Return how an engine marks the end of the answers that it breaks off.
+
+    A plain answer that ends in order without a length can't be told from a
+    whole one.
+    """
+    framings = list(Framing)
+    if not engine.options.fabric_domain:
+        framings = [Framing.CHUNKS, Framing.RESET]
+    return framings[fault.target // _EVENTS_PER_STREAM % len(framings)]
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -50,6 +50,10 @@
                 attrs.evolve(_STREAM, body=b'id: 1\ndata: a\n\n'),
                 1,
             ),
+            'incomplete last event': (
+                attrs.evolve(_STREAM, body=_STREAM.body[:-3]),
+                1,
+            ),
             'doubled event': (
                 attrs.evolve(_STREAM, body=_STREAM.body + _STREAM.body),
                 2,
