--- a/yuccavalve/gateway/const.py
+++ b/yuccavalve/gateway/const.py
@@ -14,7 +14,7 @@
 # take.
 CONNECT_TIMEOUT_FRACTION: Final = 0.5
 # Largest answer that is not a stream.
-MAX_ANSWER_BYTES: Final = 16777216
+MAX_ANSWER_BYTES: Final = 4194304
 # Retry-after times of refusals: without a replica, long enough for one to
 # form. The jitter, as a fraction of the time, keeps callers from returning
 # all at once.
