Heed engines that say they leave or ask for a pause

Engines say in all their answers that they leave, and with a 503 for how long they want nothing. Daemons read neither: a leaving engine got requests until the store listed it as draining, which it may not do while it is away; an engine that asked for a pause was tried again at once.

An engine that says it leaves counts as draining from then on, whatever the store or other daemons say of the same start; a later start at its id does not. Daemons tell each other with their loads for 3 s, so that the planner replaces it. An engine that asks for a pause gets no requests, resumptions or probes until that time and up to a tenth more, so that daemons return at different moments; times that are no number, negative or beyond a minute are bounded and logged. The decision is in load/pauses.py.

--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -26,6 +26,26 @@
     def _serves(self) -> bool:
         return bool(self.view.backends('portal'))
 
+    def test_engine_that_says_it_leaves_gets_no_new_requests(self) -> None:
+        self.assertTrue(self.view.mark_leaving(_RECORD))
+        self.assertFalse(self._serves())
+        self.assertFalse(self.view.mark_leaving(_RECORD))
+        changed = self.view.changed_since(1)
+        self.assertTrue(changed and changed['i-1'].draining)
+
+    def test_leaving_engine_stays_so_though_the_store_lists_it(self) -> None:
+        self.view.mark_leaving(_RECORD)
+        self._apply(attrs.evolve(_RECORD, slots=7), 2)
+        self.assertFalse(self._serves())
+        relayed = EngineChanges(50, {'i-1': _RECORD}, is_complete=True)
+        self.view.apply_relayed(relayed, 3)
+        self.assertFalse(self._serves())
+
+    def test_later_start_of_a_leaving_engine_gets_requests(self) -> None:
+        self.view.mark_leaving(_RECORD)
+        self._apply(attrs.evolve(_RECORD, born_ms=200), 2)
+        self.assertTrue(self._serves())
+
     def test_withdrawn_record_stops_new_requests(self) -> None:
         self._apply(None, 2)
         self.assertFalse(self._serves())
--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -76,14 +76,28 @@
         transport.close()
 
 
-class _WithTransport(Starlette):
-    """Lets answers write to the connection of their request."""
+class _EngineApplication(Starlette):
+    """Adds the engine's notices to the heads of all its answers.
+
+    Answers may also write to the connection of their request.
+    """
+
+    def __init__(self, engine: 'EngineStandin', routes: list[Route]) -> None:
+        """Serve the routes of an engine."""
+        super().__init__(routes=routes)
+        self._engine = engine
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve a request."""
-        if scope['type'] == 'http':
-            scope['standin.transport'] = send.__self__.transport
-        await super().__call__(scope, receive, send)
+
+        async def async_send(message: Any) -> None:  # noqa: WPS430
+            if message['type'] == 'http.response.start':
+                if self._engine.says_leaving:
+                    message['headers'].append((b'server-leaving', b'1'))
+            await send(message)
+
+        scope['standin.transport'] = send.__self__.transport
+        await super().__call__(scope, receive, async_send)
 
 
 def _reset(transport: asyncio.Transport) -> None:
@@ -152,6 +166,11 @@
         -1 for never.
     framing
         How the end of answers to requests is marked.
+    says_leaving
+        Whether all answers say that the engine leaves.
+    pause_text
+        Time for which the engine asks to be left alone when it refuses
+        requests; empty to refuse none.
     omits_request_id
         Answers carry no request id, as if made for another request.
     runs
@@ -182,6 +201,8 @@
         self.lose_answers = False
         self.break_after_events = -1
         self.framing = Framing.CHUNKS
+        self.says_leaving = False
+        self.pause_text = ''
         self.omits_request_id = False
         self.running = 0
         self.runs: list[str] = []
@@ -195,7 +216,8 @@
         self.address = ''
         self._highest_epoch = 0
         self._tasks: set[asyncio.Task[None]] = set()
-        self.application = _WithTransport(
+        self.application = _EngineApplication(
+            self,
             routes=[
                 Route('/-/report', self._async_report),
                 Route('/-/order', self._async_order, methods=['POST']),
@@ -424,6 +446,9 @@
             group = self.group
             if group is None or group.rank or group.state != 'open':
                 return JSONResponse({}, _MISDIRECTED, _NOT_RUN)
+        if self.pause_text:
+            fields = {**_NOT_RUN, 'Retry-After': self.pause_text}
+            return JSONResponse({}, _UNAVAILABLE, fields)
         if self.running >= self.options.slots * 2:
             return JSONResponse({}, _UNAVAILABLE, _NOT_RUN)
         return None
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tests.support.byte_server import ByteServer
+from yuccavalve.fleet.notices import NoticeRelay
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve_platform.client import JsonClient, UnansweredError
 from yuccavalve_platform.engines import EngineControl
@@ -60,7 +61,9 @@
             'i-1', 'llm', self.server.address, 'zone-a', draining=False
         )
         async with asyncio.timeout(_WAIT_S):
-            report = await EngineControl(self.client).async_report(engine)
+            report = await EngineControl(
+                self.client, NoticeRelay()
+            ).async_report(engine)
             await self.server.caller_closed.wait()
         self.assertIsNone(report)
         self.assertLess(self.server.sent_bytes, _SENT_LIMIT_BYTES)
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -97,7 +97,14 @@
             planner.start_term(self._term)
             self._planners[service.name] = planner
         facts = self._build_input(service, now_s)
-        self._prober.start_probes(self._suspects(facts), now_s)
+        self._prober.start_probes(
+            (
+                (record, interval_s)
+                for record, interval_s in self._suspects(facts)
+                if now_s >= self.node.activity.paused_until_s(record)
+            ),
+            now_s,
+        )
         for task in planner.step(facts, now_s):
             self._spawn(self._async_order(planner, task))
         for repaired_s in planner.repairs.take():
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -184,6 +184,7 @@
                     run.stalled = True
                     run.cancel()
             self._report_strikes(now_s)
+            self.node.mark_remote_leaving()
 
     async def _async_wait_for_check(self) -> float:
         """Wait until the next check; return how much the loop was delayed."""
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -7,11 +7,16 @@
 from typing import Any
 
 import attrs
+from absl import logging
 
 from yuccavalve.clock import BootClock, Clock
 from yuccavalve.daemon.entry_directory import EntryDirectory
 from yuccavalve.daemon.loop_delay import LoopDelay
-from yuccavalve.fleet.activity import Activity, engine_key
+from yuccavalve.fleet.activity import (
+    Activity,
+    engine_key,
+    engine_key_hash,
+)
 from yuccavalve.fleet.const import (
     DAEMON_TIMEOUT_PER_MEMBER_S,
     DAEMON_TIMEOUT_S,
@@ -22,6 +27,7 @@
     SHARE_MAX_PERIOD_FACTOR,
     SHARE_PERIOD_S,
 )
+from yuccavalve.fleet.notices import EngineNotices, NoticeRelay
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.gateway import (
     Dispatcher,
@@ -73,6 +79,7 @@
     routing_feed: RoutingFeed
     backend: BackendPort
     orders: EngineControlPort
+    notices: NoticeRelay
     decoder: InboundDecoder
     decode_routes: Callable[[bytes], RoutingTable]
     entry_application: Callable[[EntryDirectory], Any]
@@ -185,6 +192,20 @@
             keys = {engine_key(record) for record in self.view.records()}
             self.activity.forget_idle(keys, now_s)
 
+    def mark_remote_leaving(self) -> None:
+        """Mark the engines that have told other daemons that they leave."""
+        leaving = self.activity.remote_leaving
+        if not leaving:
+            return
+        for record in tuple(self.view.records()):
+            is_leaving = engine_key_hash(engine_key(record)) in leaving
+            if is_leaving and self.view.mark_leaving(record):
+                logging.info(
+                    'event=engine_draining engine=%s source=peer',
+                    record.engine,
+                )
+                self.engines_changed.set()
+
     def live_daemons(self) -> int:
         """Return the number of live daemons, this one included."""
         return len(self.roster.live(self.clock.now_s()))
@@ -224,6 +245,7 @@
         DAEMON_TIMEOUT_PER_MEMBER_S,
     )
     bounds = settings.bounds
+    ports.notices.sink = EngineNotices(view, activity, clock, random)
     dispatcher = Dispatcher(
         EngineSelector(
             view, activity, random, settings.daemon.availability_zone
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -7,6 +7,7 @@
 
 from yuccavalve.fleet.const import (
     FRESH_PROGRESS_S,
+    LEAVING_TELL_S,
     MAX_UNREACHED_DOUBLINGS,
     STALL_AVOID_S,
     STALL_BUSY_S,
@@ -118,11 +119,17 @@
     remote_strikes
         Largest number of strikes that another daemon reports, by
         ``engine_key_hash``.
+    remote_leaving
+        Engines that have told another daemon that they are about to stop, by
+        ``engine_key_hash``.
     """
 
     remote_runs: Mapping[int, int] = attrs.field(factory=dict)
     remote_strikes: Mapping[int, int] = attrs.field(factory=dict)
+    remote_leaving: frozenset[int] = frozenset()
     _engines: dict[str, EngineActivity] = attrs.field(factory=dict)
+    _paused_until_s: dict[str, float] = attrs.field(factory=dict)
+    _leaving_at_s: dict[str, float] = attrs.field(factory=dict)
 
     def begin(self, run: EngineRun) -> None:
         """Add a run."""
@@ -147,6 +154,37 @@
         activity = self._engines.setdefault(key, EngineActivity())
         activity.suspect_until_s = max(activity.suspect_until_s, until_s)
 
+    def pause(self, record: EngineRecord, until_s: float) -> bool:
+        """Leave an engine alone until a time, whatever its streams do.
+
+        Returns
+        -------
+        bool
+            Whether the engine was not paused for as long before.
+        """
+        key = _process_key(engine_key(record))
+        is_longer = until_s > self._paused_until_s.get(key, _NEVER_S)
+        if is_longer:
+            self._paused_until_s[key] = until_s
+        return is_longer
+
+    def paused_until_s(self, record: EngineRecord) -> float:
+        """Return until when an engine wants nothing."""
+        key = _process_key(engine_key(record))
+        return self._paused_until_s.get(key, _NEVER_S)
+
+    def record_leaving(self, record: EngineRecord, now_s: float) -> None:
+        """Record that an engine has told this daemon that it leaves."""
+        self._leaving_at_s[engine_key(record)] = now_s
+
+    def leaving(self, now_s: float) -> frozenset[str]:
+        """Return the keys of leaving engines that others may not know of."""
+        return frozenset(
+            key
+            for key, at_s in self._leaving_at_s.items()
+            if now_s - at_s < LEAVING_TELL_S
+        )
+
     def record_unreached(self, key: str, now_s: float) -> None:
         """Record a failed connection, and avoid the engine longer each time.
 
@@ -169,6 +207,8 @@
         Strikes that other daemons report count unless this daemon has just
         seen the engine make progress.
         """
+        if now_s < self._paused_until_s.get(_process_key(key), _NEVER_S):
+            return True
         activity = self._engines.get(key)
         if activity is not None:
             if now_s < activity.suspect_until_s:
@@ -251,6 +291,22 @@
             idle = not activity.runs and now_s >= activity.suspect_until_s
             if idle and key not in keys:
                 self._engines.pop(key)
+        leaving = self.leaving(now_s)
+        self._leaving_at_s = {
+            each: at_s
+            for each, at_s in self._leaving_at_s.items()
+            if each in leaving
+        }
+        self._paused_until_s = {
+            process: until_s
+            for process, until_s in self._paused_until_s.items()
+            if now_s < until_s
+        }
+
+
+def _process_key(key: str) -> str:
+    """Return the part of an engine key that is unique to a start."""
+    return key.rpartition('/')[0]
 
 
 def _stall_timeout_s(runs: list[EngineRun]) -> float:
--- a/yuccavalve/fleet/const.py
+++ b/yuccavalve/fleet/const.py
@@ -88,6 +88,8 @@
 FRESH_PROGRESS_S: Final = 0.5
 # Consecutive strikes that prove that a replica is stalled.
 MIN_STRIKES_STALLED: Final = 2
+# How long a daemon tells the others of an engine that says that it leaves.
+LEAVING_TELL_S: Final = 3.0
 # Period of the exchange of updates among daemons, and the age up to which an
 # update counts.
 SHARE_PERIOD_S: Final = 0.25
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -56,6 +56,7 @@
     _oldest_revision: int = 0
     _missing_since_s: dict[str, float] = attrs.field(factory=dict)
     _outage_until_s: float = _NEVER_S
+    _leaving_born_ms: dict[str, int] = attrs.field(factory=dict)
     _routable: dict[str, tuple[EngineRecord, ...]] = attrs.field(factory=dict)
     _routable_version: int = -1
 
@@ -147,6 +148,25 @@
             if changed_revision > revision
         }
 
+    def mark_leaving(self, leaving: EngineRecord) -> bool:
+        """Record that a start of an engine says that it leaves.
+
+        Its record counts as draining from now on, whatever the store says.
+
+        Returns
+        -------
+        bool
+            Whether this is news of an engine that gets requests.
+        """
+        engine = leaving.engine
+        self._leaving_born_ms[engine] = leaving.born_ms
+        current = self._records.get(engine)
+        if current is None or current == self._as_told(current):
+            return False
+        self._records[engine] = self._as_told(current)
+        self._record_change(engine)
+        return True
+
     def records(self) -> Iterable[EngineRecord]:
         """Return the records of all engines that are not removed."""
         return self._records.values()
@@ -207,6 +227,7 @@
             return
         if current is not None and record.born_ms < current.born_ms:
             return
+        record = self._as_told(record)
         self._missing_since_s.pop(engine, None)
         self.forget(engine)
         self._renewed_at_s[engine] = now_s
@@ -214,6 +235,12 @@
             self._records[engine] = record
             self._record_change(engine)
 
+    def _as_told(self, record: EngineRecord) -> EngineRecord:
+        """Return a record with what the engine itself said of leaving."""
+        if self._leaving_born_ms.get(record.engine) != record.born_ms:
+            return record
+        return attrs.evolve(record, draining=True)
+
     def _record_change(self, engine: str) -> None:
         self.revision += 1
         self._revisions[engine] = self.revision
@@ -236,6 +263,11 @@
         for engine, unlisted_at_s in list(self._unlisted_at_s.items()):
             if now_s - unlisted_at_s > UNLISTED_RETENTION_S:
                 self.forget(engine)
+        self._leaving_born_ms = {
+            leaving: born_ms
+            for leaving, born_ms in self._leaving_born_ms.items()
+            if leaving in self._records or leaving in self.unlisted
+        }
         settled = self.is_settled(now_s)
         for engine, since_s in list(self._missing_since_s.items()):
             silent_s = since_s - self._renewed_at_s.get(engine, _NEVER_S)
--- a/yuccavalve/load/__init__.py
+++ b/yuccavalve/load/__init__.py
@@ -9,6 +9,7 @@
 )
 from yuccavalve.load.fairness import FairQueue, Ticket
 from yuccavalve.load.outliers import ReplicaScores
+from yuccavalve.load.pauses import Pause, requested_pause
 from yuccavalve.load.queueing import (
     BoundedWait,
     QueuedRequest,
@@ -35,6 +36,7 @@
     'Demands',
     'FairQueue',
     'LeastLoaded',
+    'Pause',
     'QueuedRequest',
     'ReplicaScores',
     'RetryBudget',
@@ -49,5 +51,6 @@
     'expected_wait_s',
     'fair_shares',
     'queue_retry_after_s',
+    'requested_pause',
     'retry_after_s',
 )
--- /dev/null
+++ b/yuccavalve/load/pauses.py
@@ -0,0 +1,55 @@
+"""Decide how long to leave an engine alone that asks for a pause.
+
+Designed for engines that refuse while they are overloaded, at any number of
+daemons: each one returns at another moment, so that an engine is not met by all
+of them at once.
+"""
+
+import math
+from random import Random
+
+import attrs
+
+from yuccavalve.load.const import (
+    DEFAULT_PAUSE_S,
+    MAX_PAUSE_S,
+    PAUSE_JITTER,
+    PAUSE_JITTER_MIN_S,
+)
+
+__all__ = ('Pause', 'requested_pause')
+
+
+@attrs.frozen
+class Pause:
+    """For how long an engine gets nothing.
+
+    Attributes
+    ----------
+    is_bounded
+        Whether the time that was asked for could not be used as it was.
+    """
+
+    duration_s: float
+    is_bounded: bool = False
+
+
+def requested_pause(text: str, random: Random) -> Pause:
+    """Return the pause for a time that an engine sent, in seconds.
+
+    A time that is negative or not a number counts as ``DEFAULT_PAUSE_S``, a
+    longer one than ``MAX_PAUSE_S`` as that.
+    """
+    try:
+        asked_s = float(text)
+    except ValueError:
+        asked_s = math.nan
+    if math.isnan(asked_s) or asked_s < 0:
+        bounded_s = DEFAULT_PAUSE_S
+    else:
+        bounded_s = min(asked_s, MAX_PAUSE_S)
+    jitter_s = max(PAUSE_JITTER_MIN_S, bounded_s * PAUSE_JITTER)
+    return Pause(
+        bounded_s + random.uniform(0, jitter_s),
+        is_bounded=bounded_s != asked_s,
+    )
--- a/yuccavalve/peers/cells.py
+++ b/yuccavalve/peers/cells.py
@@ -36,17 +36,21 @@
         when the load that reported the largest is excluded.
     progressing
         Number of daemons or cells with streams that make progress there.
+    leaving
+        Whether the engine has told one of them that it is about to stop.
     """
 
     running: int = 0
     strikes: int = 0
     other_strikes: int = 0
     progressing: int = 0
+    leaving: bool = False
 
     def add(self, load: peer_pb2.EngineLoad) -> None:
         """Add the load of another daemon or cell."""
         self.running += load.running
         self.progressing += load.goes_on
+        self.leaving = self.leaving or load.leaving
         if load.strikes > self.strikes:
             self.other_strikes = self.strikes
             self.strikes = load.strikes
@@ -65,6 +69,7 @@
                 running=self.running,
                 strikes=self.strikes,
                 goes_on=self.progressing > 0,
+                leaving=self.leaving,
             )
         excluded_has_most = excluded.strikes >= self.strikes
         return peer_pb2.EngineLoad(
@@ -72,6 +77,7 @@
             running=max(0, self.running - excluded.running),
             strikes=self.other_strikes if excluded_has_most else self.strikes,
             goes_on=self.progressing > excluded.goes_on,
+            leaving=self.leaving,
         )
 
 
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -374,14 +374,16 @@
     def _local_loads(self) -> list[peer_pb2.EngineLoad]:
         strikes = self.activity.strikes(self.clock.now_s())
         loads = self.activity.local_loads()
+        leaving = self.activity.leaving(self.clock.now_s())
         return [
             peer_pb2.EngineLoad(
                 engine_key=engine_key_hash(key),
                 running=loads.get(key, 0),
                 strikes=strikes.get(key, 0),
                 goes_on=key in loads and key not in strikes,
+                leaving=key in leaving,
             )
-            for key in loads.keys() | strikes.keys()
+            for key in loads.keys() | strikes.keys() | leaving
         ]
 
     def _local_entry(self, *, with_loads: bool) -> peer_pb2.ShareEntry:
@@ -539,6 +541,9 @@
         self.activity.remote_strikes = {
             key: total.strikes for key, total in totals.items() if total.strikes
         }
+        self.activity.remote_leaving = frozenset(
+            key for key, total in totals.items() if total.leaving
+        )
 
 
 def _add_cells(totals: LoadTotals, cells: Iterable[CellUpdate]) -> LoadTotals:
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -208,6 +208,30 @@
     slowness: float = 1
 
 
+@attrs.frozen
+class EngineNotice:
+    """What an engine says of itself in an answer.
+
+    Attributes
+    ----------
+    leaving
+        Whether the engine is about to stop.
+    pause_text
+        Time in seconds for which it wants nothing, as sent; None if it asks
+        for no pause.
+    """
+
+    leaving: bool = False
+    pause_text: str | None = None
+
+
+class NoticeSink(Protocol):
+    """Takes what engines say of themselves."""
+
+    def record(self, engine: EngineRecord, notice: EngineNotice) -> None:
+        """Record a notice in an answer of an engine."""
+
+
 class EngineControlPort(Protocol):
     """Orders and probes to engines, which the transport never resends."""
 
