--- a/script/tools/prove/mutants.py
+++ b/script/tools/prove/mutants.py
@@ -20,7 +20,15 @@
 
 _ROOT = Path(__file__).parents[3]
 _MUTANTS_FILE = Path(__file__).with_suffix('.toml')
-_COPIED_PATHS = ('yuccavalve', 'tests', 'script', 'setup.cfg', 'KNOWN-RED.txt')
+_COPIED_PATHS = (
+    'yuccavalve',
+    'platform',
+    'deploy',
+    'tests',
+    'script',
+    'setup.cfg',
+    'KNOWN-RED.txt',
+)
 _MAX_PARALLEL = 3
 _TIMEOUT_S = 240
 _MAX_REASON_CHARACTERS = 90
--- a/tests/fleet/test_activity.py
+++ b/tests/fleet/test_activity.py
@@ -14,28 +14,28 @@
 _KEY = 'i-1/0/1'
 
 
-class PauseTest(unittest.TestCase):
+class BackoffTest(unittest.TestCase):
     """An engine that asked to be left alone until 5 s."""
 
     def setUp(self) -> None:
-        """Pause the engine."""
+        """Leave the engine alone."""
         self.activity = Activity()
         self.engine = EngineRecord('i-1', 'llm', '10.0.0.1:1', 'a', born_ms=7)
         self.key = engine_key(self.engine)
-        self.activity.pause(self.engine, 5)
+        self.activity.back_off(self.engine, 5)
 
-    def test_progress_does_not_end_a_pause(self) -> None:
+    def test_progress_does_not_end_a_backoff(self) -> None:
         run = EngineRun(self.key, 0, streams=True)
         self.activity.begin(run)
         self.activity.record_progress(run, 1)
         self.assertTrue(self.activity.is_suspect(self.key, 4.9))
         self.assertFalse(self.activity.is_suspect(self.key, 5))
 
-    def test_shorter_pause_does_not_replace_a_longer_one(self) -> None:
-        self.assertFalse(self.activity.pause(self.engine, 3))
-        self.assertEqual(self.activity.paused_until_s(self.engine), 5)
+    def test_shorter_backoff_does_not_replace_a_longer_one(self) -> None:
+        self.assertFalse(self.activity.back_off(self.engine, 3))
+        self.assertEqual(self.activity.backoff_until_s(self.engine), 5)
 
-    def test_pause_outlasts_the_replica_but_not_the_process(self) -> None:
+    def test_backoff_outlasts_the_replica_but_not_the_process(self) -> None:
         self.activity.forget_idle(set(), 1)
         self.assertTrue(self.activity.is_suspect('i-1/7/99', 1))
         self.assertFalse(self.activity.is_suspect('i-1/8/0', 1))
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -56,15 +56,15 @@
         for _ in range(count):
             self.activity.begin(EngineRun(key, 0, streams=True))
 
-    def test_paused_engines_are_left_alone(self) -> None:
+    def test_engines_in_backoff_are_left_alone(self) -> None:
         for head in self.heads[:2]:
-            self.activity.pause(head, 5)
+            self.activity.back_off(head, 5)
         self.assertEqual(self._choose(), 'f1')
         self.assertIn(self._choose(now_s=5), {'n1', 'n2'})
 
-    def test_refusal_says_when_the_first_paused_engine_returns(self) -> None:
+    def test_refusal_says_when_the_first_backoff_ends(self) -> None:
         for number, head in enumerate(self.heads):
-            self.activity.pause(head, 5 + number)
+            self.activity.back_off(head, 5 + number)
         with self.assertRaises(RequestRefusedError) as refused:
             self._choose(now_s=1)
         self.assertGreater(refused.exception.retry_after_s, 4)
--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -168,7 +168,7 @@
         How the end of answers to requests is marked.
     says_leaving
         Whether all answers say that the engine leaves.
-    pause_text
+    retry_after
         Time for which the engine asks to be left alone when it refuses
         requests; empty to refuse none.
     omits_request_id
@@ -202,7 +202,7 @@
         self.break_after_events = -1
         self.framing = Framing.CHUNKS
         self.says_leaving = False
-        self.pause_text = ''
+        self.retry_after = ''
         self.omits_request_id = False
         self.running = 0
         self.runs: list[str] = []
@@ -446,8 +446,8 @@
             group = self.group
             if group is None or group.rank or group.state != 'open':
                 return JSONResponse({}, _MISDIRECTED, _NOT_RUN)
-        if self.pause_text:
-            fields = {**_NOT_RUN, 'Retry-After': self.pause_text}
+        if self.retry_after:
+            fields = {**_NOT_RUN, 'Retry-After': self.retry_after}
             return JSONResponse({}, _UNAVAILABLE, fields)
         if self.running >= self.options.slots * 2:
             return JSONResponse({}, _UNAVAILABLE, _NOT_RUN)
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -1,4 +1,4 @@
-"""Engines that say that they leave, or ask for a pause, in their answers."""
+"""Engines that say in their answers that they leave, or ask for a backoff."""
 
 import asyncio
 import unittest
@@ -14,7 +14,7 @@
 )
 
 _STREAM = {'model': builders.MODEL, 'token_counts': '100,80'}
-_PAUSE_S = 1.0
+_BACKOFF_S = 1.0
 _REQUESTS = 12
 
 
@@ -128,25 +128,25 @@
         heads = [each.engine for each in self.view.heads('llm', builders.MODEL)]
         self.assertNotIn(head, heads)
 
-    async def test_engine_that_asks_for_a_pause_is_left_alone(self) -> None:
-        paused = self.fleet.engines['p-0']
-        paused.pause_text = str(_PAUSE_S)
-        await self._async_get_until_reached(paused)
+    async def test_engine_that_asks_for_a_backoff_is_left_alone(self) -> None:
+        refusing = self.fleet.engines['p-0']
+        refusing.retry_after = str(_BACKOFF_S)
+        await self._async_get_until_reached(refusing)
         for number in range(_REQUESTS):
             answer = await self._async_get(f'id-{number}')
             self.assertEqual(answer.status, 200)
-        self.assertEqual(len(paused.received_headers), 1)
-        paused.pause_text = ''
-        await asyncio.sleep(_PAUSE_S * 1.2)
+        self.assertEqual(len(refusing.received_headers), 1)
+        refusing.retry_after = ''
+        await asyncio.sleep(_BACKOFF_S * 1.2)
         number = 0
         async with asyncio.timeout(5):
-            while len(paused.received_headers) == 1:
+            while len(refusing.received_headers) == 1:
                 number += 1
                 await self._async_get(f'later-{number}')
 
-    async def test_refusal_tells_when_all_pauses_end(self) -> None:
+    async def test_refusal_tells_when_the_first_backoff_ends(self) -> None:
         for name in ('p-0', 'p-1'):
-            self.fleet.engines[name].pause_text = '3'
+            self.fleet.engines[name].retry_after = '3'
         refused = await self._async_get('id-1')
         self.assertEqual(refused.status, 503)
         refused = await self._async_get('id-2')
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -101,7 +101,7 @@
             (
                 (record, interval_s)
                 for record, interval_s in self._suspects(facts)
-                if now_s >= self.node.activity.paused_until_s(record)
+                if now_s >= self.node.activity.backoff_until_s(record)
             ),
             now_s,
         )
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -128,7 +128,7 @@
     remote_strikes: Mapping[int, int] = attrs.field(factory=dict)
     remote_leaving: frozenset[int] = frozenset()
     _engines: dict[str, EngineActivity] = attrs.field(factory=dict)
-    _paused_until_s: dict[str, float] = attrs.field(factory=dict)
+    _backoff_until_s: dict[str, float] = attrs.field(factory=dict)
     _leaving_at_s: dict[str, float] = attrs.field(factory=dict)
 
     def begin(self, run: EngineRun) -> None:
@@ -154,24 +154,24 @@
         activity = self._engines.setdefault(key, EngineActivity())
         activity.suspect_until_s = max(activity.suspect_until_s, until_s)
 
-    def pause(self, record: EngineRecord, until_s: float) -> bool:
+    def back_off(self, record: EngineRecord, until_s: float) -> bool:
         """Leave an engine alone until a time, whatever its streams do.
 
         Returns
         -------
         bool
-            Whether the engine was not paused for as long before.
+            Whether the engine was not left alone for as long before.
         """
         key = _process_key(engine_key(record))
-        is_longer = until_s > self._paused_until_s.get(key, _NEVER_S)
+        is_longer = until_s > self._backoff_until_s.get(key, _NEVER_S)
         if is_longer:
-            self._paused_until_s[key] = until_s
+            self._backoff_until_s[key] = until_s
         return is_longer
 
-    def paused_until_s(self, record: EngineRecord) -> float:
+    def backoff_until_s(self, record: EngineRecord) -> float:
         """Return until when an engine wants nothing."""
         key = _process_key(engine_key(record))
-        return self._paused_until_s.get(key, _NEVER_S)
+        return self._backoff_until_s.get(key, _NEVER_S)
 
     def record_leaving(self, record: EngineRecord, now_s: float) -> None:
         """Record that an engine has told this daemon that it leaves."""
@@ -207,7 +207,7 @@
         Strikes that other daemons report count unless this daemon has just
         seen the engine make progress.
         """
-        if now_s < self._paused_until_s.get(_process_key(key), _NEVER_S):
+        if now_s < self._backoff_until_s.get(_process_key(key), _NEVER_S):
             return True
         activity = self._engines.get(key)
         if activity is not None:
@@ -297,9 +297,9 @@
             for each, at_s in self._leaving_at_s.items()
             if each in leaving
         }
-        self._paused_until_s = {
+        self._backoff_until_s = {
             process: until_s
-            for process, until_s in self._paused_until_s.items()
+            for process, until_s in self._backoff_until_s.items()
             if now_s < until_s
         }
 
--- a/yuccavalve/fleet/notices.py
+++ b/yuccavalve/fleet/notices.py
@@ -8,7 +8,7 @@
 from yuccavalve.clock import Clock
 from yuccavalve.fleet.activity import Activity
 from yuccavalve.fleet.view import FleetView
-from yuccavalve.load import requested_pause
+from yuccavalve.load import requested_backoff
 from yuccavalve.ports.fleet import EngineNotice, EngineRecord, NoticeSink
 
 __all__ = ('EngineNotices', 'NoticeRelay')
@@ -38,24 +38,25 @@
     random: Random
 
     def record(self, engine: EngineRecord, notice: EngineNotice) -> None:
-        """Record that an engine leaves, or asks for a pause."""
+        """Record that an engine leaves, or asks to be left alone."""
         if notice.leaving and self.view.mark_leaving(engine):
             self.activity.record_leaving(engine, self.clock.now_s())
             logging.info(
                 'event=engine_draining engine=%s source=answer',
                 engine.engine,
             )
-        if notice.pause_text is not None:
-            self._pause(engine, notice.pause_text)
+        if notice.retry_after is not None:
+            self._back_off(engine, notice.retry_after)
 
-    def _pause(self, engine: EngineRecord, asked: str) -> None:
-        pause = requested_pause(asked, self.random)
-        until_s = self.clock.now_s() + pause.duration_s
-        if self.activity.pause(engine, until_s) or pause.is_bounded:
+    def _back_off(self, engine: EngineRecord, asked: str) -> None:
+        backoff = requested_backoff(asked, self.random)
+        until_s = self.clock.now_s() + backoff.duration_s
+        if self.activity.back_off(engine, until_s) or backoff.is_bounded:
             logging.info(
-                'event=engine_paused engine=%s pause_ms=%d bounded=%s asked=%r',
+                'event=engine_backoff engine=%s backoff_ms=%d bounded=%s '
+                'asked=%r',
                 engine.engine,
-                pause.duration_s * _MS,
-                pause.is_bounded,
+                backoff.duration_s * _MS,
+                backoff.is_bounded,
                 asked,
             )
--- a/yuccavalve/gateway/selection.py
+++ b/yuccavalve/gateway/selection.py
@@ -102,7 +102,7 @@
                 RETRY_AFTER_NO_REPLICA_S,
                 f'{len(candidates)} engines serve, {len(untried)} not tried, '
                 f'none of them sound{_unsound_text(untried, sound)}',
-                self._pause_s(untried, now_s),
+                self._backoff_s(untried, now_s),
             )
         best = self._best(service, sound)
         limit_s = self.waits.limit_s(self._queued(service, routed, now_s))
@@ -121,12 +121,14 @@
             )
         return best
 
-    def _pause_s(self, engines: Sequence[EngineRecord], now_s: float) -> float:
-        """Return the time until the first of the paused engines returns."""
-        paused_until_s = [
-            self.activity.paused_until_s(each) for each in engines
+    def _backoff_s(
+        self, engines: Sequence[EngineRecord], now_s: float
+    ) -> float:
+        """Return the time until the first backoff ends."""
+        backoff_until_s = [
+            self.activity.backoff_until_s(each) for each in engines
         ]
-        return max(0, min(paused_until_s, default=now_s) - now_s)
+        return max(0, min(backoff_until_s, default=now_s) - now_s)
 
     def _best(
         self, service: ServiceProfile, engines: Sequence[EngineRecord]
@@ -205,12 +207,12 @@
         code: ResultCode,
         base_s: float,
         text: str,
-        pause_s: float = 0,
+        backoff_s: float = 0,
     ) -> RequestRefusedError:
         return RequestRefusedError(
             code,
             text,
-            retry_after_s=pause_s + jittered_retry_s(self.random, base_s),
+            retry_after_s=backoff_s + jittered_retry_s(self.random, base_s),
         )
 
 
--- a/yuccavalve/load/__init__.py
+++ b/yuccavalve/load/__init__.py
@@ -1,5 +1,6 @@
 """Routing, limits, fairness and retries, decided without I/O."""
 
+from yuccavalve.load.backoff import Backoff, requested_backoff
 from yuccavalve.load.choices import ChoicePolicy, LeastLoaded, TwoChoices
 from yuccavalve.load.demands import (
     DemandKey,
@@ -9,7 +10,6 @@
 )
 from yuccavalve.load.fairness import FairQueue, Ticket
 from yuccavalve.load.outliers import ReplicaScores
-from yuccavalve.load.pauses import Pause, requested_pause
 from yuccavalve.load.queueing import (
     BoundedWait,
     QueuedRequest,
@@ -36,7 +36,7 @@
     'Demands',
     'FairQueue',
     'LeastLoaded',
-    'Pause',
+    'Backoff',
     'QueuedRequest',
     'ReplicaScores',
     'RetryBudget',
@@ -51,6 +51,6 @@
     'expected_wait_s',
     'fair_shares',
     'queue_retry_after_s',
-    'requested_pause',
+    'requested_backoff',
     'retry_after_s',
 )
--- a/yuccavalve/load/const.py
+++ b/yuccavalve/load/const.py
@@ -49,12 +49,12 @@
 # Least retry-after time of a request that found the queues too long.
 RETRY_AFTER_QUEUE_MIN_S: Final = 0.2
 
-# Pauses that engines ask for: what an unusable time counts as, the longest one,
+# Backoff that engines ask for: what an unusable time counts as, the longest one,
 # and what is added so that daemons don't return at once.
-DEFAULT_PAUSE_S: Final = 1.0
-MAX_PAUSE_S: Final = 60.0
-PAUSE_JITTER: Final = 0.1
-PAUSE_JITTER_MIN_S: Final = 0.1
+DEFAULT_BACKOFF_S: Final = 1.0
+MAX_BACKOFF_S: Final = 60.0
+BACKOFF_JITTER: Final = 0.1
+BACKOFF_JITTER_MIN_S: Final = 0.1
 
 OVERCOMMIT_FACTOR: Final = 1.5
 
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -216,13 +216,13 @@
     ----------
     leaving
         Whether the engine is about to stop.
-    pause_text
+    retry_after
         Time in seconds for which it wants nothing, as sent; None if it asks
-        for no pause.
+        for no backoff.
     """
 
     leaving: bool = False
-    pause_text: str | None = None
+    retry_after: str | None = None
 
 
 class NoticeSink(Protocol):
