--- a/yuccavalve/load/const.py
+++ b/yuccavalve/load/const.py
@@ -49,8 +49,8 @@
 # Least retry-after time of a request that found the queues too long.
 RETRY_AFTER_QUEUE_MIN_S: Final = 0.2
 
-# Backoff that engines ask for: what an unusable time counts as, the longest one,
-# and what is added so that daemons don't return at once.
+# Backoff that engines ask for: what an unusable time counts as, the longest
+# one, and what is added so that daemons don't return at once.
 DEFAULT_BACKOFF_S: Final = 1.0
 MAX_BACKOFF_S: Final = 60.0
 BACKOFF_JITTER: Final = 0.1
