--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -7,6 +7,7 @@
 from yuccavalve.access import key_digest
 from yuccavalve.exceptions import RequestRefusedError
 from yuccavalve.ports.fleet import Membership, MemberState
+from yuccavalve.prompts import part_ids
 from yuccavalve.routing import RequestKind
 from yuccavalve_platform.engines import decode_engine
 from yuccavalve_platform.requests import PlatformDecoder
@@ -151,6 +152,25 @@
             ):
                 PlatformDecoder().decode(_scope((name, text)))
 
+    def test_shared_parts_of_a_prompt_are_all_but_the_last(self) -> None:
+        for text, names in (
+            (b'5C1e:800, 91bd:410 ,e444:250', ('5c1e', '91bd')),
+            (b'5c1e:800,5c1e:3,91bd:410,e444:250', ('5c1e', '91bd')),
+            (b'e444:250', ()),
+            (b'', ()),
+            (b',,:', ()),
+        ):
+            with self.subTest(text=text):
+                inbound = PlatformDecoder().decode(
+                    _scope((b'prompt-prefix', text))
+                )
+                self.assertEqual(inbound.prompt_parts, part_ids(names))
+
+    def test_parts_of_one_prompt_are_bounded(self) -> None:
+        entries = b','.join(b'%x:1' % number for number in range(1000))
+        inbound = PlatformDecoder().decode(_scope((b'prompt-prefix', entries)))
+        self.assertEqual(len(inbound.prompt_parts), 32)
+
     def test_request_without_id_is_refused(self) -> None:
         scope = _scope()
         scope['headers'] = [(b'host', b'h.example')]
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -70,6 +70,8 @@
         Cancels the exchange when the engine has stalled.
     can_retry_elsewhere
         Returns whether another engine could take over the request.
+    first_progress_at_s
+        Monotonic time of the first event; minus infinity before it.
     stalled
         Whether the exchange was cancelled because of a stall.
     """
@@ -80,6 +82,7 @@
     cancel: Callable[[], None] = _do_nothing
     can_retry_elsewhere: Callable[[], bool] = _cannot_retry
     expected_wait_s: float = 0
+    first_progress_at_s: float = _NEVER_S
     last_progress_at_s: float = _NEVER_S
     stalled: bool = False
 
@@ -143,6 +146,8 @@
 
     def record_progress(self, run: EngineRun, now_s: float) -> None:
         """Record an event of a run, which clears its engine's strikes."""
+        if run.first_progress_at_s == _NEVER_S:
+            run.first_progress_at_s = now_s
         run.last_progress_at_s = now_s
         activity = self._engines.setdefault(run.key, EngineActivity())
         activity.last_progress_at_s = now_s
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from random import Random
 
 import attrs
@@ -42,6 +43,7 @@
 )
 from yuccavalve.ports.backend import BackendAnswer, BackendPort, BackendRequest
 from yuccavalve.ports.fleet import EngineRecord
+from yuccavalve.prompts import parts_text
 from yuccavalve.results import ResultCode
 from yuccavalve.routing import RequestKind, Route, ServiceProfile
 
@@ -50,6 +52,7 @@
 _FIRST_FAILURE_STATUS = 400
 _PRIORITY_LOWEST = 9
 _PRIORITY_STEP = 3
+_MS = 1000
 
 
 @attrs.define(eq=False)
@@ -371,18 +374,26 @@
         routed.cause = outcome if error is None else f'{outcome}: {error}'
         logging.info(
             'event=attempt_failed request=%s engine=%s outcome=%s sent=%d '
-            'load=%d age_ms=%d framing=%s cause=%r',
+            'load=%d age_ms=%d framing=%s began_ms=%d parts=%s cause=%r',
             routed.inbound.request_id,
             attempt.engine.engine,
             outcome,
             routed.sent_count,
             self.activity.load(attempt.run.key),
-            (self.clock.now_s() - self.selector.view.read_at_s) * 1000,
+            (self.clock.now_s() - self.selector.view.read_at_s) * _MS,
             '' if attempt.answer is None else attempt.answer.framing,
+            _began_ms(attempt.run, self.clock.now_s()),
+            parts_text(routed.inbound.prompt_parts),
             '' if error is None else str(error),
         )
 
 
+def _began_ms(run: EngineRun, now_s: float) -> int:
+    """Return the time since the first event of a run; -1 without one."""
+    since_s = now_s - run.first_progress_at_s
+    return round(since_s * _MS) if math.isfinite(since_s) else -1
+
+
 def _broken(routed: RoutedRequest, reason: str) -> RequestRefusedError:
     """Return the final error of a request that may have run.
 
--- a/yuccavalve/gateway/models.py
+++ b/yuccavalve/gateway/models.py
@@ -6,6 +6,7 @@
 import attrs
 
 from yuccavalve.ports.backend import BodyFraming, HeaderFields
+from yuccavalve.prompts import PromptParts
 from yuccavalve.routing import Route
 
 __all__ = (
@@ -38,6 +39,8 @@
         Model that the caller asks for; empty for plain services.
     prompt_tokens, output_tokens
         Size of the prompt and upper bound of the answer.
+    prompt_parts
+        Ids of the parts of the prompt that other requests may share.
     resume_after
         Id of the last event that the caller received of an earlier answer;
         None starts from the beginning.
@@ -56,6 +59,7 @@
     model: str = ''
     prompt_tokens: int = 0
     output_tokens: int = 0
+    prompt_parts: PromptParts = ()
     resume_after: str | None = None
     echo: HeaderFields = ()
 
