--- a/script/tools/caller.py
+++ b/script/tools/caller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import aiosonic
@@ -78,11 +78,18 @@
         *,
         stream: bool = True,
         headers: Mapping[str, str] | None = None,
+        earlier: Sequence[str] = (),
     ) -> Answer:
-        """Request a completion and check its words."""
+        """Request a completion and check its words.
+
+        ``earlier`` holds the contents of the messages before the prompt.
+        """
         body = {
             'model': model,
-            'messages': [{'role': 'user', 'content': prompt}],
+            'messages': [
+                {'role': 'user', 'content': content}
+                for content in (*earlier, prompt)
+            ],
             'max_tokens': tokens,
             'stream': stream,
         }
--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from enum import Enum
 from typing import Any
 
@@ -100,6 +100,10 @@
         await super().__call__(scope, receive, async_send)
 
 
+def _ignore_crash(engine: str) -> None:
+    """Do nothing; the engine is not part of a fleet."""
+
+
 def _reset(transport: asyncio.Transport) -> None:
     connection = transport.get_extra_info('socket')
     connection.setsockopt(
@@ -183,6 +187,11 @@
         Engines and epochs in which they were ready to serve.
     received_headers
         Header fields of the requests received, in order.
+    crashing_part
+        Part of a prompt that crashes the engine once it has begun to
+        answer; empty for none.
+    on_crash
+        Called with the engine's name when it crashes.
     """
 
     def __init__(
@@ -210,6 +219,8 @@
         self.violations: list[str] = []
         self.ready_epochs: set[tuple[str, int]] = set()
         self.received_headers: list[Mapping[str, str]] = []
+        self.crashing_part = ''
+        self.on_crash: Callable[[str], None] = _ignore_crash
         self.group: _Group | None = None
         self.staged: list[str] = []
         self.orders: list[dict[str, Any]] = []
@@ -415,7 +426,10 @@
             headers.pop('Request-Id')
         if self.options.fabric_domain:
             last_event_id = int(request.headers.get('last-event-id', '0'))
-            return self._respond(self._async_events(last_event_id), headers)
+            events = self._async_events(last_event_id)
+            if self._has_crashing_part(request):
+                events = self._async_crash(events)
+            return self._respond(events, headers)
         await asyncio.sleep(self.options.token_s)
         if self.lose_answers:
             await asyncio.sleep(_LOST_ANSWER_S)
@@ -423,6 +437,19 @@
             return Response(b'answer to ' + body, headers=headers)
         return self._respond(self._async_plain_parts(body), headers)
 
+    def _has_crashing_part(self, request: Request) -> bool:
+        prefix = request.headers.get('prompt-prefix', '')
+        names = [entry.partition(':')[0] for entry in prefix.split(',')]
+        return bool(self.crashing_part) and self.crashing_part in names
+
+    async def _async_crash(
+        self, events: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        """Crash after the first event."""
+        yield await anext(events)
+        self.on_crash(self.options.engine)
+        await asyncio.Event().wait()
+
     async def _async_plain_parts(self, body: bytes) -> AsyncIterator[bytes]:
         yield b'answer to '
         if self.break_after_events >= 0:
--- a/tests/platform/standin/fleet.py
+++ b/tests/platform/standin/fleet.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+import attrs
+
 from yuccavalve.serving import HttpServer, bind_socket
 from tests.platform.standin.engines import EngineOptions, EngineStandin
 from tests.platform.standin.store import StoreStandin
@@ -13,6 +15,7 @@
 _ANY_PORT_ADDRESS = '127.0.0.1:0'
 _SWEEP_INTERVAL_S = 0.02
 _ENGINE_TABLE = 'servers'
+_RESTART_S = 0.3
 
 
 class FleetStandin:
@@ -26,6 +29,8 @@
         Broken rules that the engines detected.
     ready_epochs
         Engines and epochs in which they were ready to serve.
+    crashed
+        Names of the engines that crashed, in order.
     """
 
     def __init__(self, heartbeat_s: float = 0.4) -> None:
@@ -36,6 +41,9 @@
         self.all_runs: list[str] = []
         self.violations: list[str] = []
         self.ready_epochs: set[tuple[str, int]] = set()
+        self.crashed: list[str] = []
+        self._crashing_part = ''
+        self._restarts: set[asyncio.Task[None]] = set()
         self._heartbeat_s = heartbeat_s
         self._servers: dict[str, HttpServer] = {}
         self._store_server: HttpServer | None = None
@@ -64,6 +72,8 @@
         engine.all_runs = self.all_runs
         engine.violations = self.violations
         engine.ready_epochs = self.ready_epochs
+        engine.crashing_part = self._crashing_part
+        engine.on_crash = self._crash
         server = HttpServer(engine.application, bind_socket(_ANY_PORT_ADDRESS))
         await server.async_start()
         engine.address = server.address
@@ -77,6 +87,28 @@
         engine.alive = False
         await self._servers.pop(name).async_abort()
 
+    def set_crashing_part(self, part: str) -> None:
+        """Let a part of prompts crash all engines, also later ones."""
+        self._crashing_part = part
+        for engine in self.engines.values():
+            engine.crashing_part = part
+
+    def _crash(self, name: str) -> None:
+        restart = asyncio.create_task(self._async_restart(name))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _async_restart(self, name: str) -> None:
+        """Kill an engine and start it again under another name."""
+        if name not in self._servers:
+            return
+        self.crashed.append(name)
+        options = self.engines[name].options
+        await self.async_kill(name)
+        await asyncio.sleep(_RESTART_S)
+        renamed = f'{name.partition(".")[0]}.{len(self.crashed)}'
+        await self.async_add(attrs.evolve(options, engine=renamed))
+
     async def async_configure(self, configuration: Mapping[str, Any]) -> None:
         """Write the operator's configuration."""
         await self.store.async_put('op', 'config', configuration)
@@ -85,6 +117,8 @@
         """Abort all engines and the store."""
         if self._heartbeats is not None:
             self._heartbeats.cancel()
+        for restart in self._restarts:
+            restart.cancel()
         for server in self._servers.values():
             await server.async_abort()
         if self._store_server is not None:
--- a/yuccavalve/standin/engine.py
+++ b/yuccavalve/standin/engine.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import uuid
 from collections.abc import AsyncIterator
 from typing import Any
@@ -33,6 +34,7 @@
 _OVERLOADED = 429
 _GONE = 410
 _UNAVAILABLE = 503
+_EXIT_CRASHED = 70
 
 
 @attrs.frozen
@@ -78,6 +80,9 @@
         Factor on the time between tokens.
     mute_status
         Delay answers to status calls far beyond the timeout of peers.
+    crash_content
+        End the process after the first event of an answer to a prompt that
+        has a message with this content; empty never does.
     dead
         Report as not ready until the next load, as after the loss of a peer.
     """
@@ -88,6 +93,7 @@
     ignore_resume: bool = False
     slowdown: float = 1
     mute_status: bool = False
+    crash_content: str = ''
     dead: bool = False
 
 
@@ -204,6 +210,10 @@
         )
         self._generations[generation.request_id] = generation
         self._runs.append(generation)
+        generation.crashes = any(
+            message['content'] == self.faults.crash_content
+            for message in body['messages']
+        )
         tokens = body.get('max_tokens', DEFAULT_TOKENS)
         asyncio.create_task(self._async_generate(generation, tokens))
         headers = self._answer_headers()
@@ -323,6 +333,9 @@
                 if generation.cancelled:
                     return
                 generation.append_word(word)
+                if generation.crashes:
+                    await asyncio.sleep(self._token_interval_s())
+                    os._exit(_EXIT_CRASHED)
             generation.finish()
         finally:
             await self._async_release_slot()
--- a/yuccavalve/standin/generation.py
+++ b/yuccavalve/standin/generation.py
@@ -40,6 +40,7 @@
         self.events: list[bytes] = []
         self.finished = False
         self.cancelled = False
+        self.crashes = False
         self.readers = 0
         self._changed = asyncio.Event()
 
