Quarantine parts of prompts that crash engine after engine

Callers saw: requests with one part in their prompts crashed 21 and 28 engines in a row; in those seconds a quarter of the sound requests weren't served. Cause: nothing related the failures of different requests. Each was retried at a second engine, and each daemon sent the next one that held the same part: a failure that is carried by the input was treated as the engine's.

An engine that is lost within 0.5 s of its first event, or before it, is evidence against all parts of the prompt (the last one excepted on the users' platform). A whole answer clears its parts for 10 s, at any daemon. Three crashes of different engines under two requests or more put a part into quarantine: new requests with it are refused (2010, 503) with the time at which it is tried again, lost ones aren't repeated, and runs that have not begun are cancelled. The time doubles with each crash, from 15 s to 600 s; then single trials, at other times at each daemon. Daemons tell each other of crashes, whole answers and quarantines in the messages that they exchange already, so that a daemon that restarts learns them. One table serves the gateway's and the product's own request path; its memory and its part of messages are bounded, and all is forgotten in time. Seen in logs (prompt_part_*), gauges (prompt_parts_quarantined, ...) and explain.

--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -4,6 +4,7 @@
 import unittest
 
 from yuccavalve.observability.explain import read_lines, request_timeline
+from yuccavalve.quarantine import QuarantineHit
 
 
 def _log_line(second: float, process: str, event: str, **fields: object) -> str:
@@ -54,5 +55,26 @@
         )
         self.assertEqual(timeline[0].fields['head'], 'i-1')
 
+    def test_refusal_includes_earlier_events_of_its_part(self) -> None:
+        hit = QuarantineHit(0x123, 3, 1.0)
+        # The log holds a name of digits alone as a number.
+        part = 123
+        lines = (
+            _log_line(1, 'd2', 'prompt_part_suspected', part=part),
+            _log_line(2, 'd2', 'prompt_part_quarantined', part=part),
+            _log_line(2, 'd2', 'prompt_part_quarantined', part=0),
+            _log_line(30, 'd1', 'request_ended', request='r', cause=hit.text),
+            _log_line(40, 'd2', 'prompt_part_cleared', part=part),
+        )
+        timeline = request_timeline(read_lines(lines), 'r')
+        self.assertEqual(
+            [line.event for line in timeline],
+            [
+                'prompt_part_suspected',
+                'prompt_part_quarantined',
+                'request_ended',
+            ],
+        )
+
     def test_unknown_request_has_no_timeline(self) -> None:
         self.assertEqual(request_timeline(read_lines(_LINES), 'none'), [])
--- /dev/null
+++ b/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of prompts' parts."""
--- a/tests/sessions/test_crashing_parts.py
+++ b/tests/sessions/test_crashing_parts.py
@@ -55,6 +55,7 @@
             answer = await self._async_send(number, _CRASHING)
             self.assertEqual(answer.status, _NOT_RUN_STATUS)
         self.assertLessEqual(self._crashed() - before, _MAX_REACHED)
-        for number in range(_DAEMONS):
+        for number, name in enumerate(self.names):
+            await self.async_until_serving(name, _ENGINES - self._crashed())
             answer = await self._async_send(number)
             self.assertTrue(answer.complete, answer)
--- a/yuccavalve/daemon/application.py
+++ b/yuccavalve/daemon/application.py
@@ -14,7 +14,7 @@
 from yuccavalve.const import HEADER_RESULT
 from yuccavalve.daemon.node import Node
 from yuccavalve.load import RetryBudget
-from yuccavalve.observability import Metrics
+from yuccavalve.observability import Metrics, add_quarantine_gauges
 from yuccavalve.operators import OperatorEndpoints
 from yuccavalve.requests import Exchange, Ledger, Pacer, RequestPipeline
 from yuccavalve.requests.admit import Admission, Admit
@@ -28,6 +28,7 @@
     CheckAvailability,
     ResolveService,
 )
+from yuccavalve.requests.quarantine import CheckQuarantine, PromptGuard
 from yuccavalve.requests.record import Recorder
 from yuccavalve.requests.relay import EngineResumer, Relay, StreamWatch
 from yuccavalve.results import ResultCode, http_status
@@ -105,6 +106,7 @@
         self.application = self._application()
         self.metrics.gauge('requests_in_flight', self._in_flight)
         self.metrics.gauge('configuration_version', self._configuration_version)
+        add_quarantine_gauges(self.metrics, node.quarantine)
         self.metrics.gauge('merge_delay_seconds', lambda: self.pacer.delay_s)
 
     def background_loops(self) -> list:  # type: ignore[type-arg]
@@ -121,6 +123,7 @@
         limits = node.settings.limits
         client = BackendClient()
         canceller = EngineCanceller(node)
+        guard = PromptGuard(node.quarantine, node.clock)
         deduplicate = Deduplicate(self.ledger, node.roster, node.clock)
         filters = (
             ParseHeaders(),
@@ -130,6 +133,7 @@
             ParseBody(),
             ResolveService(node.adoption),
             deduplicate,
+            CheckQuarantine(guard),
             Admit(self.admission),
             ClaimLedgerRow(self.ledger, deduplicate, node.local_member.member),
             Dispatch(
@@ -142,6 +146,7 @@
                 node.clock,
                 node.random,
                 limits.first_byte_s,
+                guard,
             ),
             Relay(
                 node.clock,
@@ -150,6 +155,7 @@
                 EngineResumer(client, node.grants),
                 node.grants,
                 limits.stream_idle_s,
+                guard,
             ),
         )
         recorder = Recorder(
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -184,6 +184,7 @@
                     run.stalled = True
                     run.cancel()
             self._report_strikes(now_s)
+            self._cancel_quarantined(now_s)
             self.node.mark_remote_leaving()
 
     async def _async_wait_for_check(self) -> float:
@@ -199,6 +200,20 @@
         node.loop_delay.record(delay_s, now_s)
         return delay_s
 
+    def _cancel_quarantined(self, now_s: float) -> None:
+        """Cancel runs that may still crash their engine."""
+        node = self.node
+        quarantine = node.share_state.quarantine
+        quarantine.expire(now_s)
+        if quarantine.take_urgent_news():
+            node.urgent_update.set()
+        if not quarantine.held_count:
+            return
+        for run in tuple(node.activity.beginning(now_s)):
+            if quarantine.find(run.prompt_parts, now_s) is not None:
+                run.quarantined = True
+                run.cancel()
+
     def _report_strikes(self, now_s: float) -> None:
         """Have an update sent at once if an engine has new strikes."""
         strikes = self.node.activity.strikes(now_s)
--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -6,7 +6,7 @@
 from starlette.routing import Route
 
 from yuccavalve.daemon.gateway_node import GatewayNode
-from yuccavalve.observability.metrics import Metrics
+from yuccavalve.observability.metrics import Metrics, add_quarantine_gauges
 
 __all__ = ('metrics_application',)
 
@@ -53,6 +53,7 @@
     metrics.gauge('plans_replicas', lambda: int(node.share_state.plans))
     metrics.gauge('serves_as_hub', lambda: int(node.serves_as_hub()))
     metrics.gauge('cell_daemons', node.share_state.cell_size)
+    add_quarantine_gauges(metrics, node.share_state.quarantine)
     metrics.gauge(
         'log_lines_left_out', lambda: node.log_rate_limiter.dropped_total
     )
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -47,6 +47,7 @@
     EngineFeed,
     RoutingFeed,
 )
+from yuccavalve.quarantine import PromptQuarantine
 from yuccavalve.routing import RoutingState, RoutingTable
 from yuccavalve.settings import BoundSettings, GatewaySettings
 
@@ -246,6 +247,9 @@
     )
     bounds = settings.bounds
     ports.notices.sink = EngineNotices(view, activity, clock, random)
+    quarantine = PromptQuarantine(
+        random, lambda: len(roster.live(clock.now_s()))
+    )
     dispatcher = Dispatcher(
         EngineSelector(
             view, activity, random, settings.daemon.availability_zone
@@ -258,8 +262,11 @@
         ),
         clock,
         random,
+        quarantine,
+    )
+    share_state = ShareState(
+        roster, activity, routing, clock, random, quarantine=quarantine
     )
-    share_state = ShareState(roster, activity, routing, clock, random)
     gateway = Gateway(ports.decoder, routing, dispatcher, clock, random)
     return GatewayNode(
         settings=settings,
--- a/yuccavalve/daemon/node.py
+++ b/yuccavalve/daemon/node.py
@@ -18,6 +18,8 @@
 from yuccavalve.peers import PeerClient
 from yuccavalve.peers.peer_state import PeerState
 from yuccavalve.ports import EnginePort, HostList, ObjectStore, TableStore
+from yuccavalve.quarantine import PromptQuarantine
+from yuccavalve.quarantine.const import GOSSIP_RELAY_S
 from yuccavalve.replicas import GrantTable, ReplicaStore, ReplicaTable
 from yuccavalve.replicas.usage import ReplicaUsage
 from yuccavalve.settings import Settings
@@ -73,6 +75,7 @@
     demands: Demands
     peers: PeerClient
     peer_state: PeerState
+    quarantine: PromptQuarantine
     configurations: ConfigurationStore
     registry: MemberRegistry
     replica_store: ReplicaStore
@@ -122,10 +125,16 @@
     platform_caller = HttpJsonClient(settings.platform.timeout_s, keys.platform)
     platform = _platform(settings, platform_caller, engine_caller)
     roster = Roster(_local_member(settings, caller_address))
-    adoption = AdoptionState(settings.daemon.name)
-    grants = GrantTable()
-    replicas = ReplicaTable()
-    demands = Demands()
+    peer_state = PeerState(
+        roster,
+        AdoptionState(settings.daemon.name),
+        GrantTable(),
+        ReplicaTable(),
+        Demands(),
+        clock,
+        random,
+        quarantine=_quarantine(roster, clock, random),
+    )
     return Node(
         settings=settings,
         keys=keys,
@@ -133,21 +142,14 @@
         clock=clock,
         random=random,
         roster=roster,
-        adoption=adoption,
-        grants=grants,
-        replicas=replicas,
+        adoption=peer_state.adoption,
+        grants=peer_state.grants,
+        replicas=peer_state.replica_table,
         scores=ReplicaScores(),
-        demands=demands,
+        demands=peer_state.demands,
         peers=PeerClient(keys.peer),
-        peer_state=PeerState(
-            roster,
-            adoption,
-            grants,
-            replicas,
-            demands,
-            clock,
-            random,
-        ),
+        peer_state=peer_state,
+        quarantine=peer_state.quarantine,
         configurations=ConfigurationStore(platform.table),
         registry=MemberRegistry(platform.table),
         replica_store=ReplicaStore(platform.table),
@@ -156,6 +158,16 @@
     )
 
 
+def _quarantine(
+    roster: Roster, clock: Clock, random: Random
+) -> PromptQuarantine:
+    return PromptQuarantine(
+        random,
+        lambda: len(roster.live(clock.now_s())),
+        relay_s=GOSSIP_RELAY_S,
+    )
+
+
 def _local_member(settings: Settings, caller_address: str) -> Member:
     daemon = settings.daemon
     return Member(
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -18,6 +18,8 @@
 )
 from yuccavalve.hashing import hash32
 from yuccavalve.ports.fleet import EngineRecord
+from yuccavalve.prompts import PromptParts
+from yuccavalve.quarantine.const import BEGIN_MAX_S
 
 __all__ = (
     'Activity',
@@ -25,6 +27,7 @@
     'EngineRun',
     'engine_key',
     'engine_key_hash',
+    'process_key',
 )
 
 _MAX_CACHED_KEYS = 8192
@@ -70,10 +73,14 @@
         Cancels the exchange when the engine has stalled.
     can_retry_elsewhere
         Returns whether another engine could take over the request.
+    prompt_parts
+        Ids of the parts of the request's prompt.
     first_progress_at_s
         Monotonic time of the first event; minus infinity before it.
     stalled
         Whether the exchange was cancelled because of a stall.
+    quarantined
+        Whether it was cancelled because of a part of the prompt.
     """
 
     key: str
@@ -82,9 +89,24 @@
     cancel: Callable[[], None] = _do_nothing
     can_retry_elsewhere: Callable[[], bool] = _cannot_retry
     expected_wait_s: float = 0
+    prompt_parts: PromptParts = ()
     first_progress_at_s: float = _NEVER_S
     last_progress_at_s: float = _NEVER_S
     stalled: bool = False
+    quarantined: bool = False
+
+    @property
+    def cancel_reason(self) -> str:
+        """Return why the exchange was cancelled; empty if it was not."""
+        if self.stalled:
+            return 'stalled'
+        return 'quarantined' if self.quarantined else ''
+
+    def is_beginning(self, now_s: float) -> bool:
+        """Return whether the answer has not begun or has just begun."""
+        if self.first_progress_at_s == _NEVER_S:
+            return True
+        return now_s - self.first_progress_at_s <= BEGIN_MAX_S
 
 
 @attrs.define
@@ -167,7 +189,7 @@
         bool
             Whether the engine was not left alone for as long before.
         """
-        key = _process_key(engine_key(record))
+        key = process_key(engine_key(record))
         is_longer = until_s > self._backoff_until_s.get(key, _NEVER_S)
         if is_longer:
             self._backoff_until_s[key] = until_s
@@ -175,7 +197,7 @@
 
     def backoff_until_s(self, record: EngineRecord) -> float:
         """Return until when an engine wants nothing."""
-        key = _process_key(engine_key(record))
+        key = process_key(engine_key(record))
         return self._backoff_until_s.get(key, _NEVER_S)
 
     def record_leaving(self, record: EngineRecord, now_s: float) -> None:
@@ -212,7 +234,7 @@
         Strikes that other daemons report count unless this daemon has just
         seen the engine make progress.
         """
-        if now_s < self._backoff_until_s.get(_process_key(key), _NEVER_S):
+        if now_s < self._backoff_until_s.get(process_key(key), _NEVER_S):
             return True
         activity = self._engines.get(key)
         if activity is not None:
@@ -281,6 +303,13 @@
             self.avoid(key, now_s + STALL_AVOID_S)
             yield key, stream_runs
 
+    def beginning(self, now_s: float) -> Iterator[EngineRun]:
+        """Yield the runs whose answer has not begun or has just begun."""
+        for activity in self._engines.values():
+            for run in activity.runs:
+                if run.is_beginning(now_s):
+                    yield run
+
     def has_streams(self) -> bool:
         """Return whether this daemon has streams in flight."""
         return any(
@@ -309,7 +338,7 @@
         }
 
 
-def _process_key(key: str) -> str:
+def process_key(key: str) -> str:
     """Return the part of an engine key that is unique to a start."""
     return key.rpartition('/')[0]
 
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -20,7 +20,12 @@
     BackendNotReachedError,
     RequestRefusedError,
 )
-from yuccavalve.fleet.activity import Activity, EngineRun, engine_key
+from yuccavalve.fleet.activity import (
+    Activity,
+    EngineRun,
+    engine_key,
+    process_key,
+)
 from yuccavalve.fleet.const import BROKEN_AVOID_S, LOST_AVOID_S
 from yuccavalve.gateway.budget import ServiceRetryBudgets
 from yuccavalve.gateway.const import (
@@ -41,9 +46,15 @@
     slots,
     times_key,
 )
+from yuccavalve.hashing import hash32
 from yuccavalve.ports.backend import BackendAnswer, BackendPort, BackendRequest
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.prompts import parts_text
+from yuccavalve.quarantine import (
+    PromptCrash,
+    PromptQuarantine,
+    QuarantineHit,
+)
 from yuccavalve.results import ResultCode
 from yuccavalve.routing import RequestKind, Route, ServiceProfile
 
@@ -81,6 +92,7 @@
     budgets: ServiceRetryBudgets
     clock: Clock
     random: Random
+    quarantine: PromptQuarantine = attrs.field(factory=PromptQuarantine)
 
     async def async_run(
         self,
@@ -89,6 +101,11 @@
         service: ServiceProfile,
     ) -> None:
         """Answer a request or raise ``RequestRefusedError``."""
+        hit = self.quarantine.admit(
+            routed.inbound.prompt_parts, self.clock.now_s()
+        )
+        if hit is not None:
+            raise _quarantined(hit)
         self.budgets.deposit(service.name, self.clock.now_s())
         while True:
             now_s = self.clock.now_s()
@@ -106,6 +123,7 @@
                     expected_wait_s=self.selector.expected_wait_s(
                         service, engine, routed
                     ),
+                    prompt_parts=routed.inbound.prompt_parts,
                 ),
                 had_free_slot=self._has_free_slot(service, engine),
             )
@@ -151,10 +169,11 @@
             routed.may_have_run = True
             self._record_lost(routed, attempt, error)
         except TimeoutError as error:
-            if not run.stalled:
+            outcome = run.cancel_reason
+            if not outcome:
                 raise
             routed.may_have_run = True
-            self._record_failure(routed, attempt, 'stalled', error)
+            self._record_failure(routed, attempt, outcome, error)
         finally:
             self.activity.end(run)
             if attempt.answer is not None:
@@ -167,8 +186,13 @@
         load = self.activity.load(engine_key(engine))
         return load < slots(service, engine)
 
-    def _record_time(self, routed: RoutedRequest, attempt: _Attempt) -> None:
-        """Record how long a whole answer occupied a slot."""
+    def _record_answered(
+        self, routed: RoutedRequest, attempt: _Attempt
+    ) -> None:
+        """Record a whole answer and how long it occupied a slot."""
+        self.quarantine.record_sound(
+            routed.inbound.prompt_parts, self.clock.now_s()
+        )
         if attempt.had_free_slot and routed.sent_count == 1:
             self.selector.times.record(
                 times_key(attempt.service, routed),
@@ -210,7 +234,7 @@
         else:
             await self._async_relay_body(routed, answer)
         if not failed:
-            self._record_time(routed, attempt)
+            self._record_answered(routed, attempt)
         return True
 
     async def _async_relay_events(
@@ -261,6 +285,12 @@
 
     def _check_retry(self, routed: RoutedRequest, attempt: _Attempt) -> None:
         """Raise the final error unless another engine may be tried."""
+        hit = self.quarantine.find(
+            routed.inbound.prompt_parts, self.clock.now_s()
+        )
+        if hit is not None:
+            routed.cause = f'{routed.cause}; {hit.text}'
+            raise self._final_error(routed, ResultCode.PROMPT_QUARANTINED, hit)
         code = self._final_code(routed, attempt)
         if code is not None:
             raise self._final_error(routed, code)
@@ -308,10 +338,13 @@
         self,
         routed: RoutedRequest,
         code: ResultCode,
+        hit: QuarantineHit | None = None,
     ) -> Exception:
         """Return the final error; never "not run" if it may have run."""
         if routed.may_have_run or routed.response_began:
             return _broken(routed, code.name)
+        if hit is not None:
+            return _quarantined(hit)
         return RequestRefusedError(
             code,
             routed.cause,
@@ -352,8 +385,23 @@
     ) -> None:
         if attempt.service.engine is not None:
             self._avoid(attempt, LOST_AVOID_S)
+        self._record_crash(routed, attempt)
         self._record_failure(routed, attempt, 'lost', error)
 
+    def _record_crash(self, routed: RoutedRequest, attempt: _Attempt) -> None:
+        """Record the parts of a prompt whose answer was lost as it began."""
+        now_s = self.clock.now_s()
+        if not attempt.run.is_beginning(now_s):
+            return
+        self.quarantine.record_crash(
+            PromptCrash(
+                engine=hash32(process_key(attempt.run.key)),
+                request=hash32(routed.inbound.request_id),
+                parts=routed.inbound.prompt_parts,
+            ),
+            now_s,
+        )
+
     def _record_refusal(
         self,
         routed: RoutedRequest,
@@ -394,6 +442,12 @@
     return round(since_s * _MS) if math.isfinite(since_s) else -1
 
 
+def _quarantined(hit: QuarantineHit) -> RequestRefusedError:
+    return RequestRefusedError(
+        ResultCode.PROMPT_QUARANTINED, hit.text, hit.retry_after_s
+    )
+
+
 def _broken(routed: RoutedRequest, reason: str) -> RequestRefusedError:
     """Return the final error of a request that may have run.
 
--- a/yuccavalve/observability/__init__.py
+++ b/yuccavalve/observability/__init__.py
@@ -1,6 +1,6 @@
 """Structured logs, metrics and the error budget burn report."""
 
 from yuccavalve.observability.logs import setup_logs
-from yuccavalve.observability.metrics import Metrics
+from yuccavalve.observability.metrics import Metrics, add_quarantine_gauges
 
-__all__ = ('Metrics', 'setup_logs')
+__all__ = ('Metrics', 'add_quarantine_gauges', 'setup_logs')
--- a/yuccavalve/observability/explain.py
+++ b/yuccavalve/observability/explain.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from yuccavalve.prompts import PART_PREFIX, part_from_log
+
 __all__ = ('UNSOUND_PREFIX', 'LogLine', 'read_lines', 'request_timeline')
 
 # Precedes the names of the unhealthy engines in the cause of a refusal.
@@ -32,6 +34,8 @@
 # Fields that name an engine. Events with one are relevant only to requests
 # that were sent to this engine.
 _ENGINE_FIELDS = ('engine', 'head')
+# Events of a part of the prompt explain a refusal however old they are.
+_PART_EVENT_PREFIX = 'prompt_part_'
 _HIDDEN_FIELDS = frozenset(('at', 'level', 'process', 'event'))
 
 
@@ -98,7 +102,8 @@
 
     Besides the request's own lines these are state changes of the daemons
     that handled it and events of the engines that it was sent to, from a few
-    seconds before the request began to its last line.
+    seconds before the request began to its last line, and earlier events of
+    the parts of its prompt.
     """
     ordered = sorted(lines, key=lambda line: line.at)
     own_lines = [
@@ -109,12 +114,14 @@
     processes = {line.process for line in own_lines}
     engines = {line.fields.get('engine') for line in own_lines} - {None, ''}
     engines.update(*map(_unhealthy_engines, own_lines))
+    parts = set().union(*map(_named_parts, own_lines))
     begin_s = min(_request_began_s(line) for line in own_lines) - _LOOKBACK_S
     end_s = max(line.time_of_day_s for line in own_lines)
     return [
         line
         for line in ordered
         if line in own_lines
+        or (_part_of_event(line) in parts and line.time_of_day_s <= end_s)
         or (
             begin_s <= line.time_of_day_s <= end_s
             and _is_relevant(line, processes, engines)
@@ -128,6 +135,21 @@
     return named.split()
 
 
+def _named_parts(line: LogLine) -> set[str]:
+    """Return the parts of a prompt that a request's line names."""
+    listed = str(line.fields.get('parts', '')).split(',')
+    _, _, named = str(line.fields.get('cause', '')).partition(PART_PREFIX)
+    names = (*listed, named.partition(' ')[0])
+    return {part_from_log(name) for name in names if name}
+
+
+def _part_of_event(line: LogLine) -> str:
+    """Return the part that an event is about; empty for other events."""
+    if not line.event.startswith(_PART_EVENT_PREFIX):
+        return ''
+    return part_from_log(line.fields.get('part', ''))
+
+
 def _request_began_s(line: LogLine) -> float:
     """Return when the request of a line began, in seconds since midnight.
 
--- a/yuccavalve/observability/metrics.py
+++ b/yuccavalve/observability/metrics.py
@@ -13,7 +13,9 @@
     SummaryMetricFamily,
 )
 
-__all__ = ('RequestMeasurement', 'Metrics')
+from yuccavalve.quarantine import PromptQuarantine
+
+__all__ = ('Metrics', 'RequestMeasurement', 'add_quarantine_gauges')
 
 _LOWEST_MS = 1
 _HIGHEST_MS = 3600000
@@ -121,6 +123,15 @@
             yield GaugeMetricFamily(f'yuccavalve_{name}', name, read())
 
 
+def add_quarantine_gauges(
+    metrics: Metrics, quarantine: PromptQuarantine
+) -> None:
+    """Add gauges of the parts of prompts that crash engines."""
+    metrics.gauge('prompt_parts_quarantined', lambda: quarantine.held_count)
+    metrics.gauge('prompt_parts_suspected', lambda: quarantine.suspect_count)
+    metrics.gauge('prompt_part_crashes', lambda: quarantine.crashes_recorded)
+
+
 def _record(
     histograms: dict[str, HdrHistogram],
     service: str,
--- a/yuccavalve/peers/peer_state.py
+++ b/yuccavalve/peers/peer_state.py
@@ -36,6 +36,11 @@
     decode_member,
     encode_member,
 )
+from yuccavalve.peers.quarantine_news import (
+    decode_quarantine,
+    encode_quarantine,
+)
+from yuccavalve.quarantine import PromptQuarantine
 from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
 from yuccavalve.replicas.store import decode_replica, encode_replica
 
@@ -76,6 +81,7 @@
     clock: Clock
     random: Random
     own_demands: Callable[[], Mapping[DemandKey, int]] = dict
+    quarantine: PromptQuarantine = attrs.field(factory=PromptQuarantine)
     view: PeerView = attrs.field(init=False)
     new_until_s: float = attrs.field(init=False)
 
@@ -99,6 +105,7 @@
             version=self.adoption.version,
             replicas_digest=self.replica_table.digest(),
             members_digest=self.roster.index().digest,
+            quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
         )
         if introduce or self.is_new() or self.roster.local_member.leaving:
             message.sender.CopyFrom(encode_member(self.roster.local_member))
@@ -119,7 +126,9 @@
             votes=self.adoption.votes,
             demands=encode_demands(self.own_demands(), self._demand_order()),
             members_digest=self.roster.index().digest,
+            quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
         )
+        self._read_quarantine(request.quarantine, now_s)
         if request.HasField('sender'):
             self.roster.learn(decode_member(request.sender))
             self.view.add(request.sender.member)
@@ -161,6 +170,7 @@
         sender = by_id.get(reply.member)
         if sender is not None:
             self._read_sender(sender, reply, sent_at_s)
+        self._read_quarantine(reply.quarantine, sent_at_s)
         unknown = self._read_members(by_id, reply, sent_at_s)
         self._read_voters(reply, sent_at_s)
         self._read_grants(reply, sent_at_s)
@@ -205,6 +215,12 @@
         for member_head in reply.members:
             self.roster.learn(decode_member(member_head))
 
+    def _read_quarantine(
+        self, message: peer_pb2.QuarantineNews, sent_at_s: float
+    ) -> None:
+        now_s = self.clock.now_s()
+        self.quarantine.apply(decode_quarantine(message, sent_at_s), now_s)
+
     def _add_members(
         self,
         message: peer_pb2.PullReply,
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -30,6 +30,11 @@
 from yuccavalve.peers.exchanges import ExchangeTimes
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.peers.messages import age_ms, decode_member, encode_member
+from yuccavalve.peers.quarantine_news import (
+    decode_quarantine,
+    encode_quarantine,
+)
+from yuccavalve.quarantine import PromptQuarantine
 from yuccavalve.routing import RoutingState
 
 __all__ = ('CellUpdate', 'DaemonUpdate', 'ShareState')
@@ -105,6 +110,8 @@
         Whether a digest named daemons that are not in the roster.
     exchanges
         Times of the last exchanges with other hubs.
+    quarantine
+        Parts of prompts that crash engines.
     """
 
     roster: Roster
@@ -119,6 +126,7 @@
     follows: bool = False
     unknown_daemons: bool = False
     exchanges: ExchangeTimes = attrs.field(factory=ExchangeTimes)
+    quarantine: PromptQuarantine = attrs.field(factory=PromptQuarantine)
     _sequence: int = 0
     _updates: dict[str, DaemonUpdate] = attrs.field(factory=dict)
     _followers: dict[str, float] = attrs.field(factory=dict)
@@ -145,6 +153,7 @@
             protocol=PROTOCOL_VERSION,
             sender=self._local_entry(with_loads=follows or self.follows),
             follows=follows,
+            quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
         )
         if follows or not self._reports_cell():
             return message
@@ -167,6 +176,7 @@
         message = peer_pb2.ShareMessage(
             protocol=PROTOCOL_VERSION,
             sender=self._local_entry(with_loads=self.follows),
+            quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
         )
         if not request.follows:
             self._followers.pop(request.sender.member.member, None)
@@ -197,7 +207,8 @@
         """Apply a message or reply; return whether it is urgent.
 
         New strikes are urgent: the sooner the planner receives them, the
-        sooner it repairs a stalled replica.
+        sooner it repairs a stalled replica. So is new evidence on parts of
+        prompts that crash engines.
 
         Parameters
         ----------
@@ -225,7 +236,11 @@
             self._local_cell = None
         if urgent or not message.follows:
             self._count_other_loads()
-        return urgent
+        self.quarantine.apply(
+            decode_quarantine(message.quarantine, sent_at_s),
+            self.clock.now_s(),
+        )
+        return urgent or self.quarantine.take_urgent_news()
 
     def has_followers(self) -> bool:
         """Return whether other daemons use this one as their hub."""
--- a/yuccavalve/prompts.py
+++ b/yuccavalve/prompts.py
@@ -4,13 +4,22 @@
 
 from yuccavalve.hashing import hash64
 
-__all__ = ('PromptParts', 'part_ids', 'parts_text')
+__all__ = (
+    'PART_PREFIX',
+    'PromptParts',
+    'part_from_log',
+    'part_ids',
+    'parts_text',
+)
 
 PromptParts = tuple[int, ...]
 
+# Precedes the part of the prompt for which a request is refused, in its text.
+PART_PREFIX = 'quarantined part: '
 # Parts of one prompt that are told apart; further ones are not.
 _MAX_PARTS = 32
 _MAX_LOGGED_PARTS = 8
+_ID_DIGITS = 16
 
 
 def part_ids(names: Iterable[str]) -> PromptParts:
@@ -22,3 +31,8 @@
 def parts_text(parts: Iterable[int]) -> str:
     """Return the ids of parts as they appear in logs."""
     return ','.join(f'{part:016x}' for part in tuple(parts)[:_MAX_LOGGED_PARTS])
+
+
+def part_from_log(logged: object) -> str:
+    """Return a part's id from a log field, which may hold it as a number."""
+    return str(logged).zfill(_ID_DIGITS)
--- a/yuccavalve/requests/dispatch.py
+++ b/yuccavalve/requests/dispatch.py
@@ -32,6 +32,7 @@
 from yuccavalve.requests.const import CONTENT_JSON, MAX_ATTEMPTS
 from yuccavalve.requests.models import Exchange
 from yuccavalve.requests.picker import ReplicaPicker
+from yuccavalve.requests.quarantine import PromptGuard
 from yuccavalve.results import ResultCode
 
 __all__ = ('Canceller', 'Dispatch', 'attempt_id')
@@ -82,9 +83,11 @@
     clock: Clock
     random: Random
     first_byte_s: float
+    guard: PromptGuard
 
     async def async_apply(self, exchange: Exchange) -> None:
         """Set the stream of the answer, or refuse the request."""
+        self.guard.check_send(exchange)
         self.budget.deposit()
         attempts = _Attempts()
         while not await self._async_attempt(exchange, attempts):
@@ -124,6 +127,7 @@
             return False
         except BackendLostError as error:
             self._record_lost(exchange, attempts, str(error))
+            self.guard.record_lost(exchange)
             return False
         if stream.status in _REFUSAL_STATUSES and _is_model_request(exchange):
             await self._async_record_refusal(exchange, attempts, stream)
@@ -217,6 +221,8 @@
         """Refuse the request unless another attempt is allowed."""
         if attempts.may_have_run and not _is_repeatable(exchange):
             self._refuse(attempts, ResultCode.STREAM_BROKEN)
+        if self.guard.is_quarantined(exchange):
+            self._refuse(attempts, ResultCode.PROMPT_QUARANTINED)
         if attempts.count >= MAX_ATTEMPTS:
             self._refuse(attempts, ResultCode.BACKEND_REFUSED)
         if self.clock.now_s() >= exchange.deadline_at_s:
--- a/yuccavalve/requests/models.py
+++ b/yuccavalve/requests/models.py
@@ -10,6 +10,7 @@
 from yuccavalve.adapters.backend import BackendStream
 from yuccavalve.configuration.models import Service, Workspace
 from yuccavalve.load.fairness import Ticket
+from yuccavalve.prompts import PromptParts
 from yuccavalve.results import Outcome
 
 __all__ = ('Exchange', 'Filter', 'LedgerEntry', 'LedgerState')
@@ -73,6 +74,7 @@
     admitted_at_s: float = 0
     cost_tokens: int = 0
     prefix_key: str = ''
+    prompt_parts: PromptParts = ()
     ticket: Ticket | None = None
     ledger_entry: LedgerEntry | None = None
     target: str = ''
--- a/yuccavalve/requests/parse.py
+++ b/yuccavalve/requests/parse.py
@@ -20,6 +20,7 @@
     DEFAULT_CLASS,
     DEFAULT_MAX_TOKENS,
 )
+from yuccavalve.prompts import part_ids
 from yuccavalve.requests.const import (
     COMPLETIONS_PATH,
     MAX_DEADLINE_S,
@@ -100,6 +101,9 @@
         exchange.cost_tokens = prompt_tokens + max_tokens
         first_content = str(document['messages'][0].get('content', ''))
         exchange.prefix_key = first_content[:PREFIX_CHARACTERS]
+        exchange.prompt_parts = part_ids(
+            message['content'] for message in document['messages']
+        )
 
 
 def requested_model(exchange: Exchange) -> str:
--- a/yuccavalve/requests/relay.py
+++ b/yuccavalve/requests/relay.py
@@ -31,6 +31,7 @@
 from yuccavalve.requests.dispatch import attempt_id
 from yuccavalve.requests.models import Exchange
 from yuccavalve.requests.pacing import Pacer
+from yuccavalve.requests.quarantine import PromptGuard
 from yuccavalve.requests.respond import (
     async_begin_events,
     async_end_events,
@@ -171,6 +172,7 @@
     resumer: Resumer
     grants: GrantTable
     idle_s: float
+    guard: PromptGuard
 
     async def async_apply(self, exchange: Exchange) -> None:
         """Relay events as they arrive, or a whole body at once."""
@@ -190,10 +192,12 @@
         try:
             body = await stream.async_read_all(self.idle_s, MAX_ANSWER_BYTES)
         except BackendLostError as error:
+            self.guard.record_lost(exchange)
             raise _relay_error(ResultCode.STREAM_BROKEN, str(error)) from error
         finally:
             stream.close()
         self._check_replica(exchange)
+        self.guard.record_answered(exchange)
         exchange.first_byte_at_s = self.clock.now_s()
         if exchange.answer_parts is not None:
             exchange.answer_parts.append(body)
@@ -218,6 +222,7 @@
                 return
             exchange.stream = await self.resumer.async_resume(exchange)
             if exchange.stream is None:
+                self._record_lost(exchange, code)
                 break
             logging.info(
                 'request %s: resumed at event %d',
@@ -228,6 +233,11 @@
             code = ResultCode.REPLICA_LOST
         raise _relay_error(code, text)
 
+    def _record_lost(self, exchange: Exchange, code: ResultCode) -> None:
+        """Record a stream that broke off and that its engine lost."""
+        if code is ResultCode.STREAM_BROKEN:
+            self.guard.record_lost(exchange)
+
     async def _async_relay_stream(
         self,
         exchange: Exchange,
@@ -290,6 +300,7 @@
 
     async def _async_finish(self, exchange: Exchange, events: bytes) -> None:
         self._check_replica(exchange)
+        self.guard.record_answered(exchange)
         exchange.events += events.count(EVENT_END)
         if exchange.answer_parts is not None:
             exchange.answer_parts.append(events)
