Keep the parts in quarantine in the table service for daemons that start

Cause: daemons learn of parts in quarantine from each other, so that a power loss of all of them would let the part crash engines anew. The planner keeps a row of the parts; each daemon reads it once when it starts, a new planner again.

--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -20,6 +20,7 @@
 )
 from yuccavalve.daemon.gateway_peers import MemberLoop, ShareLoop
 from yuccavalve.daemon.lease_loop import LeaseLoop
+from yuccavalve.daemon.quarantine_loop import QuarantineLoop
 from yuccavalve.daemon.settings_loop import SettingsLoop
 from yuccavalve.exceptions import (
     StoreUnavailableError,
@@ -157,11 +158,22 @@
             self._member_loop.async_run(),
             ShareLoop(node).async_run(),
             StallLoop(node).async_run(),
+            self._quarantine_loop().async_run(),
             self._lease_loop.async_run(),
             self._settings_loop.async_run(),
             FormationDuty(node, self._lease_loop).async_run(),
         ]
 
+    def _quarantine_loop(self) -> QuarantineLoop:
+        node = self._node
+        return QuarantineLoop(
+            node.share_state.quarantine,
+            node.ports.table,
+            node.clock,
+            node.random,
+            self._lease_loop.is_held,
+        )
+
     async def _async_listen(self) -> None:
         node = self._node
         listen = node.settings.listen
--- /dev/null
+++ b/yuccavalve/daemon/quarantine_loop.py
@@ -0,0 +1,113 @@
+"""Keep the parts in quarantine in the table service, for daemons that start.
+
+Daemons tell each other of these parts. The row serves the case that all of
+them stop at about the same time.
+"""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import attrs
+from absl import logging
+
+from yuccavalve.clock import Clock
+from yuccavalve.exceptions import StoreUnavailableError
+from yuccavalve.ports import Row, TableStore, Transaction, Write
+from yuccavalve.quarantine import PartHold, PromptQuarantine, QuarantineNews
+from yuccavalve.timing import jittered
+
+__all__ = ('QuarantineLoop',)
+
+_KEY = 'prompts/quarantine'
+_PERIOD_S = 1.0
+_HEX = 16
+
+
+@attrs.define
+class QuarantineLoop:
+    """Reads the row at the start; writes it while this daemon plans.
+
+    Attributes
+    ----------
+    plans
+        Returns whether this daemon is the planner.
+    """
+
+    quarantine: PromptQuarantine
+    table: TableStore
+    clock: Clock
+    random: Random
+    plans: Callable[[], bool]
+    _is_read: bool = False
+    _was_planner: bool = False
+    _written: dict[int, int] = attrs.field(factory=dict)
+
+    async def async_run(self) -> None:
+        """Read the row, then keep it current, until cancelled."""
+        while True:
+            try:
+                await self.async_run_once()
+            except StoreUnavailableError as error:
+                logging.info('event=quarantine_unstored cause=%r', str(error))
+            await asyncio.sleep(jittered(self.random, _PERIOD_S))
+
+    async def async_run_once(self) -> None:
+        """Read the row if that is due; write it if it has changed.
+
+        A new planner reads it again, since its predecessor may have written.
+        """
+        plans = self.plans()
+        if plans and not self._was_planner:
+            self._is_read = False
+        self._was_planner = plans
+        if not self._is_read:
+            await self._async_read()
+        if plans:
+            await self._async_write()
+
+    async def _async_read(self) -> None:
+        rows = await self.table.async_read([_KEY])
+        self._is_read = True
+        self._written = {}
+        if _KEY not in rows:
+            return
+        now_s = self.clock.now_s()
+        try:
+            holds = _decode(rows[_KEY], now_s)
+        except (KeyError, TypeError, ValueError) as error:
+            logging.error('event=quarantine_unreadable cause=%r', str(error))
+            return
+        self._written = {hold.part: hold.crashes for hold in holds}
+        self.quarantine.apply(QuarantineNews(holds=holds), now_s)
+
+    async def _async_write(self) -> None:
+        now_s = self.clock.now_s()
+        holds = self.quarantine.news(now_s).holds
+        current = {hold.part: hold.crashes for hold in holds}
+        if current == self._written:
+            return
+        fields = {'holds': [_encode(hold, now_s) for hold in holds]}
+        await self.table.async_transact(Transaction((), (Write(_KEY, fields),)))
+        self._written = current
+
+
+def _encode(hold: PartHold, now_s: float) -> dict[str, Any]:
+    return {
+        'part': f'{hold.part:x}',
+        'crashes': hold.crashes,
+        'age_s': round(now_s - hold.at_s, 3),
+    }
+
+
+def _decode(row: Row, now_s: float) -> list[PartHold]:
+    """Return the holds of a row; their ages count from when it was written."""
+    return [
+        PartHold(
+            int(entry['part'], _HEX),
+            int(entry['crashes']),
+            now_s - max(0, float(entry['age_s'])),
+        )
+        for entry in row.fields['holds']
+    ]
--- a/yuccavalve/daemon/runner.py
+++ b/yuccavalve/daemon/runner.py
@@ -15,6 +15,7 @@
 from yuccavalve.daemon.node import Node, build_node
 from yuccavalve.daemon.peer_loop import PeerLoop
 from yuccavalve.daemon.planner_duty import PlannerDuty
+from yuccavalve.daemon.quarantine_loop import QuarantineLoop
 from yuccavalve.daemon.store_loop import StoreLoop
 from yuccavalve.daemon.verify_loop import VerifyLoop
 from yuccavalve.exceptions import StoreUnavailableError
@@ -103,12 +104,24 @@
             PeerLoop(node).async_run(),
             VerifyLoop(node).async_run(),
             *(duty.async_run() for duty in self._duties),
+            self._quarantine_loop().async_run(),
             *self._requests.background_loops(),
         ]
         self._tasks = [asyncio.create_task(loop) for loop in loops]
         self._ready_task = asyncio.create_task(self._async_write_ready_file())
         _reduce_full_collections()
 
+    def _quarantine_loop(self) -> QuarantineLoop:
+        node = self._node
+        planner = self._duties[0].lease
+        return QuarantineLoop(
+            node.quarantine,
+            node.platform.table,
+            node.clock,
+            node.random,
+            lambda: planner.is_held(node.clock.now_s()),
+        )
+
     async def async_run_until_stopped(self) -> int:
         signalled = asyncio.create_task(self._signals.get())
         await asyncio.wait(
