--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -16,6 +16,12 @@
         'SIGTERM 0.1 s after the start of a process, before the interpreter '
         'could install a handler; the check asked for status 0 even then',
     ),
+    (
+        914,
+        12.0,
+        'SIGHUP 0.2 s after the start of a process ended it, since its '
+        'handler is installed after the imports',
+    ),
 )
 
 
