Condemn no part of a prompt while no other request is answered

Cause, found by reading: when engines crash under all requests, as after a broken release, each part that had no whole answer lately would go into quarantine, for ever longer times, and sound requests would be refused long after the engines are back. A part is now put into quarantine only if the daemon saw whole answers to other requests since its first crash; daemons without traffic learn it from others. Crashes are remembered for 120 s instead of 30, since a whole answer clears them anyway, so that a part that comes once a minute is found too.

--- a/tests/daemon/test_quarantine_loop.py
+++ b/tests/daemon/test_quarantine_loop.py
@@ -27,6 +27,7 @@
         for number in range(MIN_CRASHES):
             self.planner.record_crash(crash(number), self.clock.now_s())
             self.clock.advance(SETTLE_S)
+        builders.answer_others(self.planner, self.clock.now_s())
 
     def _loop(
         self, quarantine: PromptQuarantine, *, plans: bool
--- a/tests/peers/test_quarantine_news.py
+++ b/tests/peers/test_quarantine_news.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from tests.quarantine import builders as builders_of_prompts
 from tests.quarantine.builders import BAD, crash
 from tests.support import builders
 from tests.support.share_model import ShareModel
@@ -26,6 +27,9 @@
             share_state.quarantine.record_crash(
                 crash(number), self.model.clock.now_s()
             )
+            builders_of_prompts.answer_others(
+                share_state.quarantine, self.model.clock.now_s()
+            )
             self.model.run(0.5)
 
     def _refusing(self) -> int:
@@ -65,6 +69,7 @@
                 quarantine.record_crash(
                     crash(number, part), now_s + number * 0.1
                 )
+        builders_of_prompts.answer_others(quarantine, now_s + 0.3)
         self.model.clock.advance(1)
         after = self.model.daemons[0].share_state.build_message().ByteSize()
         self.assertLess(after - before, _MAX_PART_BYTES * MAX_HOLDS_SENT * 2)
--- a/tests/quarantine/test_table.py
+++ b/tests/quarantine/test_table.py
@@ -35,6 +35,7 @@
         for number in range(first, first + count):
             self.table.record_crash(crash(number, *parts), self.now_s)
             self.now_s += _STEP_S
+        builders.answer_others(self.table, self.now_s)
         self.now_s += SETTLE_S
 
     def _is_refused(self, *parts: int) -> bool:
@@ -51,17 +52,32 @@
         for number in range(10):
             self.table.record_crash(PromptCrash(1, number, (BAD,)), self.now_s)
             self.now_s += _STEP_S
+        builders.answer_others(self.table, self.now_s)
         self.assertFalse(self._is_refused(BAD))
 
     def test_repeats_of_one_request_are_not_enough(self) -> None:
         for number in range(10):
             self.table.record_crash(PromptCrash(number, 1, (BAD,)), self.now_s)
             self.now_s += _STEP_S
+        builders.answer_others(self.table, self.now_s)
         self.assertFalse(self._is_refused(BAD))
 
+    def test_engines_that_crash_under_all_prompts_condemn_no_part(
+        self,
+    ) -> None:
+        for number in range(30):
+            self.table.record_crash(
+                crash(number, number % 5, SHARED), self.now_s
+            )
+            self.now_s += _STEP_S
+        self.now_s += SETTLE_S
+        self.table.expire(self.now_s)
+        self.assertEqual(self.table.held_count, 0)
+
     def test_engines_that_end_at_once_count_as_one(self) -> None:
         for number in range(10):
             self.table.record_crash(crash(number), self.now_s)
+        builders.answer_others(self.table, self.now_s)
         self.now_s += SETTLE_S
         self.assertFalse(self._is_refused(BAD))
 
@@ -166,6 +182,8 @@
             self.tables[number % 2].record_crash(crash(number), self.now_s)
             self.now_s += _STEP_S
             self._tell(number % 2)
+        for table in self.tables:
+            builders.answer_others(table, self.now_s)
         self.now_s += SETTLE_S
 
     def _refusing(self) -> list[bool]:
--- a/yuccavalve/quarantine/const.py
+++ b/yuccavalve/quarantine/const.py
@@ -6,6 +6,9 @@
 # quarantine.
 MIN_CRASHES: Final = 3
 MIN_REQUESTS: Final = 2
+# Whole answers to other requests meanwhile. Without them it is not the part
+# that ends engines.
+MIN_ANSWERS: Final = 2
 # Crashes closer together than this count once: engines that end at the same
 # moment, as those of one fabric domain, are not ended by a prompt.
 CRASH_SPACING_S: Final = 0.02
@@ -27,7 +30,7 @@
 TRIAL_TIMEOUT_S: Final = 8.0
 # How long crashes are remembered of a part that is not in quarantine, and of
 # one whose quarantine has ended.
-SUSPECT_MEMORY_S: Final = 30.0
+SUSPECT_MEMORY_S: Final = 120.0
 TRIAL_MEMORY_S: Final = 60.0
 # How long new evidence is passed on, through hubs and by gossip.
 RELAY_S: Final = 2.0
--- a/yuccavalve/quarantine/models.py
+++ b/yuccavalve/quarantine/models.py
@@ -9,6 +9,7 @@
     CRASH_SPACING_S,
     MAX_ENGINES_PER_PART,
     MAX_QUARANTINE_S,
+    MIN_ANSWERS,
     MIN_CRASHES,
     MIN_REQUESTS,
     QUARANTINE_S,
@@ -126,6 +127,8 @@
         Time after the quarantine at which this daemon may try the part.
     trial_until_s
         Monotonic time until which this daemon waits for its trial's end.
+    answers_before
+        Number of whole answers before the first crash.
     """
 
     first_at_s: float
@@ -136,6 +139,7 @@
     is_held: bool = False
     trial_delay_s: float = 0
     trial_until_s: float = _NEVER_S
+    answers_before: int = 0
 
     def add(self, crash: PartCrash) -> bool:
         """Add a crash; return whether it counts."""
@@ -155,11 +159,15 @@
         self.crashes += counts
         return counts
 
-    def is_conclusive(self, now_s: float) -> bool:
-        """Return whether the crashes prove that the part causes them."""
+    def is_conclusive(self, now_s: float, answers: int) -> bool:
+        """Return whether the crashes prove that the part causes them.
+
+        ``answers`` is the number of whole answers so far.
+        """
         return (
             self.crashes >= MIN_CRASHES
             and len(self.requests) >= MIN_REQUESTS
+            and answers - self.answers_before >= MIN_ANSWERS
             and now_s - self.first_at_s >= SETTLE_S
         )
 
--- a/yuccavalve/quarantine/table.py
+++ b/yuccavalve/quarantine/table.py
@@ -3,8 +3,9 @@
 An engine that is lost soon after it began to answer a request is evidence
 against all parts of its prompt. A whole answer clears them, also for other
 daemons. A part under which several engines were lost, and that no whole answer
-had lately, is put into quarantine for a time that doubles with each further
-crash; then single requests are let through as trials. Designed for hundreds of
+had lately although other requests were answered, is put into quarantine for a
+time that doubles with each further crash; then single requests are let through
+as trials. Designed for hundreds of
 daemons that each see few requests with a part, and for engines that are also
 lost for other reasons every few seconds.
 """
@@ -73,6 +74,7 @@
     relay_s: float = RELAY_S
     crashes_recorded: int = 0
     has_urgent_news: bool = False
+    _answers: int = 0
     _records: dict[int, PartRecord] = attrs.field(factory=dict)
     _sound_at_s: dict[int, float] = attrs.field(factory=dict)
     _new_crashes: dict[PartCrash, float] = attrs.field(factory=dict)
@@ -129,6 +131,7 @@
 
     def record_sound(self, parts: PromptParts, now_s: float) -> None:
         """Record that an engine answered a request completely."""
+        self._answers += 1
         for part in parts:
             self._set_sound(part, now_s)
             if part in self._records:
@@ -192,7 +195,7 @@
         record = self._records[part]
         if now_s > record.memory_until_s:
             return False
-        if not record.is_held and record.is_conclusive(now_s):
+        if not record.is_held and record.is_conclusive(now_s, self._answers):
             self._hold(part, record, 'crashes')
         return record.is_held
 
@@ -249,7 +252,9 @@
         record = self._records.get(crash.part)
         if record is None or now_s > record.memory_until_s:
             self._make_room(now_s)
-            record = PartRecord(crash.at_s, crash.at_s)
+            record = PartRecord(
+                crash.at_s, crash.at_s, answers_before=self._answers
+            )
             self._records[crash.part] = record
         if crash.engine in record.engines:
             return
