Bound heads without an end, and let callers read why they are refused

Two faults of the servers for callers, peers' HTTP and the platform: - A header field, target or trailer without an end was held in memory as long as the caller went on sending: the size of a block was counted when its fields ended. If an answer is in progress the connection is aborted instead of a 400 being written into it.

--- a/yuccavalve/serving.py
+++ b/yuccavalve/serving.py
@@ -17,6 +17,12 @@
 
 _BACKLOG = 1024
 _MAX_HEADER_BYTES = 32768
+# Bytes received since an element of a request last ended. One read may bring
+# 262144 bytes.
+_MAX_UNENDED_BYTES = 294912
+# How long and how much is read from a caller after its head was refused.
+_LINGER_S = 1.0
+_MAX_DISCARDED_BYTES = 8388608
 _KEEP_ALIVE_S = 30
 _START_POLL_S = 0.01
 _USER_TIMEOUT_MS = 60000
@@ -24,7 +30,30 @@
 
 
 class BoundedHeaderProtocol(HttpToolsProtocol):
-    """The library's protocol with a bound on the size of a header block."""
+    """The library's protocol with bounds on heads, and readable refusals.
+
+    The parser holds the bytes of an element, such as a header field, until it
+    ends. The size of a whole block and that of an element without an end are
+    bounded.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        """Start without bytes received."""
+        super().__init__(*args, **kwargs)
+        self._header_bytes = 0
+        self._unended_bytes = 0
+        self._discarded_bytes = 0
+        self._is_refused = False
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Parse what was received; discard it after a refusal."""
+        if self._is_refused:
+            self._discard(len(data))
+            return
+        self._unended_bytes += len(data)
+        super().data_received(data)
+        if self._unended_bytes > _MAX_UNENDED_BYTES and not self._is_refused:
+            self.send_400_response('element of a head is too large')
 
     def on_message_begin(self) -> None:
         """Reset the size of the header block."""
@@ -41,8 +70,32 @@
         self._count_header(len(name) + len(value))
         super().on_header(name, value)
 
+    def on_headers_complete(self) -> None:
+        """Begin the request."""
+        self._unended_bytes = 0
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a part of the body on."""
+        self._unended_bytes = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """End the body."""
+        self._unended_bytes = 0
+        super().on_message_complete()
+
     def send_400_response(self, msg: str) -> None:  # noqa: WPS114
-        """Answer a malformed head with a result code."""
+        """Answer a malformed head with a result code.
+
+        The rest of what the caller sends is read for a while: closing a
+        connection with unread bytes resets it, and the caller would lose the
+        answer. A connection with an answer in progress is aborted.
+        """
+        self._is_refused = True
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.transport.abort()
+            return
         code = ResultCode.HEADER_INVALID
         error = {'code': int(code), 'name': code.name, 'message': msg}
         body = json.dumps({'error': error}).encode()
@@ -54,9 +107,16 @@
             'connection: close\r\n\r\n'
         )
         self.transport.write(head.encode() + body)
-        self.transport.close()
+        self.transport.write_eof()
+        self.loop.call_later(_LINGER_S, self.transport.close)
+
+    def _discard(self, size_bytes: int) -> None:
+        self._discarded_bytes += size_bytes
+        if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+            self.transport.abort()
 
     def _count_header(self, size_bytes: int) -> None:
+        self._unended_bytes = 0
         self._header_bytes += size_bytes
         if self._header_bytes > _MAX_HEADER_BYTES:
             raise ValueError('header block is too large')
