End streams whose engine sends bytes but completes no event

Callers of the product's own path saw (test): a stalled engine that sends a byte now and then keeps its stream open without end, since each byte counted as progress. Progress is now a whole event, so that the idle limit ends the stream (3001) or resumes it. The gateway doesn't run this code: its own streams end with the route's timeout.

--- a/tests/sessions/test_requests.py
+++ b/tests/sessions/test_requests.py
@@ -27,6 +27,19 @@
         runs = await self.async_runs()
         self.assertEqual(len(runs), 2)
 
+    async def test_stream_that_sends_bytes_but_no_events_is_ended(
+        self,
+    ) -> None:
+        await self.async_start(options=DaemonOptions(stream_idle_s=1))
+        await self.cluster.async_call_admin(
+            'h0', '/admin/faults', {'trickle_after': 5, 'ignore_resume': True}
+        )
+        async with asyncio.timeout(60):
+            answer = await self.async_ask('e0', 'trickles', 20)
+        self.assertFalse(answer.complete)
+        self.assertEqual(answer.code, 3001)
+        self.assertEqual(len(answer.words), 5)
+
     async def test_lost_stream_never_looks_whole(self) -> None:
         await self.async_start()
         await self.cluster.async_call_admin(
--- a/yuccavalve/requests/relay.py
+++ b/yuccavalve/requests/relay.py
@@ -53,7 +53,7 @@
     Attributes
     ----------
     progress_at_s
-        Monotonic time of the last data from the backend server.
+        Monotonic time of the last whole event from the backend server.
     sending_since_s
         Monotonic time at which the unfinished write to the caller began;
         0 if there is none.
@@ -271,10 +271,10 @@
             chunk = await stream.async_read()
             if not chunk:
                 raise BackendLostError('answer without an end mark')
-            watched.progress_at_s = self.clock.now_s()
             events = splitter.split(chunk)
             if not events:
                 continue
+            watched.progress_at_s = self.clock.now_s()
             if events.endswith(STREAM_END_EVENT):
                 await self._async_finish(exchange, events)
                 return
--- a/yuccavalve/standin/engine.py
+++ b/yuccavalve/standin/engine.py
@@ -35,6 +35,7 @@
 _GONE = 410
 _UNAVAILABLE = 503
 _EXIT_CRASHED = 70
+_TRICKLE_INTERVAL_S = 0.2
 
 
 @attrs.frozen
@@ -70,6 +71,9 @@
     ----------
     silent_after
         Stall streams after this many events; -1 never does.
+    trickle_after
+        Send single bytes that end no event after this many events; -1 never
+        does.
     cut_after
         Break the connection of streams after this many events; -1 never does.
     refuse
@@ -88,6 +92,7 @@
     """
 
     silent_after: int = -1
+    trickle_after: int = -1
     cut_after: int = -1
     refuse: bool = False
     ignore_resume: bool = False
@@ -298,6 +303,9 @@
             async for event in generation.async_follow(offset):
                 if offset == 0:
                     await self._async_inject_fault(position)
+                while position == self.faults.trickle_after:
+                    yield b'd'
+                    await asyncio.sleep(_TRICKLE_INTERVAL_S)
                 yield event
                 position += 1
         finally:
