--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -26,6 +26,7 @@
 _WARM_JOIN_S = 0.02
 _LOST_ANSWER_S = 6.0
 _POLL_S = 0.01
+_TRICKLE_INTERVAL_S = 0.05
 _NOT_RUN = {'Not-Executed': '1'}
 
 
@@ -168,6 +169,9 @@
     break_after_events
         Number of events after which a stream breaks inside the next one;
         -1 for never.
+    trickle_after_events
+        Number of events after which a stream sends bytes but completes no
+        further event; -1 for never.
     framing
         How the end of answers to requests is marked.
     says_leaving
@@ -209,6 +213,7 @@
         self.order_delay_s = 0.0
         self.lose_answers = False
         self.break_after_events = -1
+        self.trickle_after_events = -1
         self.framing = Framing.CHUNKS
         self.says_leaving = False
         self.retry_after = ''
@@ -502,6 +507,9 @@
                 await asyncio.sleep(self.options.token_s)
                 while not self._is_group_complete() or self.silent:
                     await asyncio.sleep(_POLL_S)
+                while number - 1 == self.trickle_after_events:
+                    yield b'd'
+                    await asyncio.sleep(_TRICKLE_INTERVAL_S)
                 if number - 1 == self.break_after_events:
                     yield b'id: %d\nda' % number
                     if self.framing is Framing.CHUNKS_ENDED:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -117,6 +117,22 @@
                 self.assertEqual(_events(answer.body), list(range(1, 9)))
                 self.assertTrue(answer.body.endswith(b'data: word8\n\n'))
 
+    async def test_stream_that_sends_bytes_but_no_events_is_resumed(
+        self,
+    ) -> None:
+        for engine in self.fleet.engines.values():
+            engine.trickle_after_events = 3
+        pending = asyncio.create_task(self._async_call(_RESUMABLE, 'trickles'))
+        await async_until(
+            lambda: 'trickles' in self.fleet.all_runs,
+            'an engine runs the request',
+        )
+        for engine in self.fleet.engines.values():
+            if 'trickles' not in engine.runs:
+                engine.trickle_after_events = -1
+        answer = await pending
+        self.assertEqual(_events(answer.body), list(range(1, 9)))
+
     async def test_answers_without_a_length_are_relayed_whole(self) -> None:
         self._set_faults(Framing.CLOSE, break_after_events=-1)
         stream = await self._async_call(_NOT_RESUMABLE, 'id-1')
