Measure the daemon that does not plan, once the roles have settled

Traced: the daemon that has just become the planner still counts as a follower for some tenths of a second (3 of 8 runs: chosen follower 0, planner 0, 19 to 21 calls; roles settled to planner 0, follower 1 within 0.3 s), and the new follower as a hub for up to 1.5 s. The test fixed its daemon at once, so that it measured the planner.

--- a/tests/platform/test_two_daemons.py
+++ b/tests/platform/test_two_daemons.py
@@ -71,12 +71,17 @@
 
     async def _async_check_follower_calls(self) -> None:
         """Check that the follower reads nothing and knows the engines."""
+        planner = self._planner_index()
+        follower = 1 - planner
         await async_until(
-            lambda: self._follower_index() >= 0, 'one daemon is a follower'
+            lambda: (
+                self._follower_index() == follower
+                and not self.daemons[follower].node.serves_as_hub()
+            ),
+            'the daemon that does not plan follows and is no hub',
         )
-        follower = self._follower_index()
-        self.assertFalse(self.daemons[follower].node.serves_as_hub())
         await self._async_check_calls(follower)
+        self.assertEqual(self._planner_index(), planner)
 
     async def _async_check_calls(self, number: int) -> None:
         """Check that a daemon reads nothing and knows the engines."""
