--- a/yuccavalve/fleet/notices.py
+++ b/yuccavalve/fleet/notices.py
@@ -6,7 +6,7 @@
 from absl import logging
 
 from yuccavalve.clock import Clock
-from yuccavalve.fleet.activity import Activity
+from yuccavalve.fleet.activity import Activity, engine_key
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.load import requested_backoff
 from yuccavalve.ports.fleet import EngineNotice, EngineRecord, NoticeSink
@@ -47,6 +47,13 @@
             )
         if notice.retry_after is not None:
             self._back_off(engine, notice.retry_after)
+        if notice.limit is not None:
+            logging.info(
+                'event=engine_limit engine=%s load=%d asked=%r',
+                engine.engine,
+                self.activity.local_load(engine_key(engine)),
+                notice.limit,
+            )
 
     def _back_off(self, engine: EngineRecord, asked: str) -> None:
         backoff = requested_backoff(asked, self.random)
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -219,10 +219,14 @@
     retry_after
         Time in seconds for which it wants nothing, as sent; None if it asks
         for no backoff.
+    limit
+        Requests a second that it takes from all daemons together, as sent;
+        None if it names no limit.
     """
 
     leaving: bool = False
     retry_after: str | None = None
+    limit: str | None = None
 
 
 class NoticeSink(Protocol):
