--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -64,7 +64,8 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Write to the connection itself; the server adds chunks."""
         transport = scope['standin.transport']
-        lines = [f'{name}: {text}' for name, text in self._fields.items()]
+        fields = {**self._fields, **scope['standin.notices']}
+        lines = [f'{name}: {text}' for name, text in fields.items()]
         head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', ''))
         transport.write(head.encode())
         try:
@@ -93,11 +94,15 @@
 
         async def async_send(message: Any) -> None:  # noqa: WPS430
             if message['type'] == 'http.response.start':
-                if self._engine.says_leaving:
-                    message['headers'].append((b'server-leaving', b'1'))
+                message['headers'].extend(
+                    (name.lower().encode(), text.encode())
+                    for name, text in self._engine.notices().items()
+                )
             await send(message)
 
+        self._engine.arrivals_s.append(time.monotonic())
         scope['standin.transport'] = send.__self__.transport
+        scope['standin.notices'] = self._engine.notices()
         await super().__call__(scope, receive, async_send)
 
 
@@ -216,6 +221,8 @@
         self.trickle_after_events = -1
         self.framing = Framing.CHUNKS
         self.says_leaving = False
+        self.limit = ''
+        self.arrivals_s: list[float] = []
         self.retry_after = ''
         self.omits_request_id = False
         self.running = 0
@@ -245,6 +252,15 @@
             ],
         )
 
+    def notices(self) -> dict[str, str]:
+        """Return what the engine says of itself in all its answers."""
+        notices = {}
+        if self.says_leaving:
+            notices['Server-Leaving'] = '1'
+        if self.limit:
+            notices['Server-Limit'] = self.limit
+        return notices
+
     def store_record(self, sequence: int) -> dict[str, Any]:
         """Return the engine's record as the store holds it."""
         options = self.options
--- a/yuccavalve/const.py
+++ b/yuccavalve/const.py
@@ -52,6 +52,8 @@
 HEADER_DEADLINE: Final = 'x-deadline-s'
 HEADER_CLASS: Final = 'x-request-class'
 HEADER_INCARNATION: Final = 'x-incarnation'
+# Requests a second that a backend server takes from all daemons together.
+HEADER_LIMIT: Final = 'x-request-limit'
 HEADER_DAEMON: Final = 'x-daemon-id'
 HEADER_DUPLICATE: Final = 'x-duplicate'
 STREAM_END_EVENT: Final = b'data: [DONE]\n\n'
--- a/yuccavalve/standin/engine.py
+++ b/yuccavalve/standin/engine.py
@@ -5,8 +5,10 @@
 
 import asyncio
 import os
+import time
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import attrs
@@ -16,6 +18,7 @@
 from starlette.routing import Route
 
 from yuccavalve.adapters.http import CallFailedError, HttpJsonClient
+from yuccavalve.const import HEADER_LIMIT
 from yuccavalve.standin.const import (
     CROSS_DOMAIN_SLOWDOWN,
     DEFAULT_TOKENS,
@@ -87,6 +90,8 @@
     crash_content
         End the process after the first event of an answer to a prompt that
         has a message with this content; empty never does.
+    limit
+        Requests a second to name in all answers; empty names none.
     dead
         Report as not ready until the next load, as after the loss of a peer.
     """
@@ -99,6 +104,7 @@
     slowdown: float = 1
     mute_status: bool = False
     crash_content: str = ''
+    limit: str = ''
     dead: bool = False
 
 
@@ -112,6 +118,30 @@
     peer_addresses: tuple[str, ...] = ()
 
 
+@attrs.define
+class _Calls:
+    """Records when calls arrived, and names the limit in their answers."""
+
+    faults: EngineFaults
+    arrivals_s: list[float] = attrs.field(factory=list)
+
+    async def async_answer(
+        self,
+        request: Request,
+        respond: Callable[[Request], Awaitable[Response]],
+    ) -> Response:
+        """Answer a call that counts towards the limit."""
+        self.arrivals_s.append(time.monotonic())
+        response = await respond(request)
+        if self.faults.limit:
+            response.headers[HEADER_LIMIT] = self.faults.limit
+        return response
+
+    async def async_arrivals(self, request: Request) -> Response:
+        """Return the monotonic times of all calls."""
+        return JSONResponse(self.arrivals_s)
+
+
 class EngineStandin:
     """Loads a model on order and streams generated words."""
 
@@ -131,6 +161,7 @@
         self._queued = 0
         self._slot_free = asyncio.Condition()
         self._reported_load = (0, 0)
+        self._calls = _Calls(self.faults)
         self._caller = HttpJsonClient(PEER_TIMEOUT_S, options.platform_key)
         self.application = Starlette(
             routes=[
@@ -149,13 +180,22 @@
 
     def _endpoints(self) -> dict[str, Any]:
         return {
-            '/v1/status': self._async_status,
-            '/v1/orders': self._async_order,
-            '/v1/chat/completions': self._async_complete,
-            '/v1/resume': self._async_resume,
+            '/v1/status': partial(
+                self._calls.async_answer, respond=self._async_status
+            ),
+            '/v1/orders': partial(
+                self._calls.async_answer, respond=self._async_order
+            ),
+            '/v1/chat/completions': partial(
+                self._calls.async_answer, respond=self._async_complete
+            ),
+            '/v1/resume': partial(
+                self._calls.async_answer, respond=self._async_resume
+            ),
             '/v1/cancel': self._async_cancel,
             '/admin/faults': self._async_faults,
             '/admin/runs': self._async_runs,
+            '/admin/arrivals': self._calls.async_arrivals,
         }
 
     async def _async_status(self, request: Request) -> Response:
