Hold the limits that engines name over the sum of all daemons

Callers saw nothing; engines in need got 20 requests in 4 s where the limit that they named allowed 15. Cause: no daemon read the header, and nothing bounds the rate of requests to one engine over all daemons.

A request to an engine that has named a limit now needs a permit. Only the holder of the planner lease grants permits, from one token bucket for each engine, and only to daemons that ask because a request would have used the engine: so the sum holds for any number of daemons, and a small limit is used by whichever daemon has requests. A permit is valid for 1 s from before it was asked for and is checked again once the connection is made, so a daemon that was frozen meanwhile doesn't act on it. Buckets begin empty: a new planner grants nothing on top of what its predecessor granted. Four fifths of a limit are granted; the rest is a reserve that daemons without a planner divide among all known ones. Probes and orders of the planner are taken from the bucket first. Retries and resumptions select engines like first attempts and need permits as well. What gets none goes to other engines or is refused at once (2011).

Daemons tell each other of limits in the messages that they exchange. A limit ends with an answer without one to a request that was sent after the last answer that named it; an unreadable one keeps the last one in force.

--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -9,13 +9,18 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 import httptools
 
-from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
-from yuccavalve.ports.backend import BodyFraming, HeaderFields
+from yuccavalve.exceptions import (
+    BackendLostError,
+    BackendNotReachedError,
+    PermitExpiredError,
+)
+from yuccavalve.ports.backend import BodyFraming, HeaderFields, always
 
 __all__ = ('HttpAnswer', 'HttpCall', 'async_exchange')
 
@@ -38,6 +43,8 @@
         All fields but ``content-length``, in order.
     connect_timeout_s
         Time in seconds within which the connection must be made.
+    may_send
+        Returns, once the connection is made, whether to send the request.
     """
 
     address: str
@@ -46,6 +53,7 @@
     headers: HeaderFields
     body: bytes = b''
     connect_timeout_s: float = 1
+    may_send: Callable[[], bool] = always
 
     def encode(self) -> bytes:
         """Return the bytes of the request."""
@@ -264,6 +272,8 @@
     ------
     BackendNotReachedError
         When no byte of the request was sent.
+    PermitExpiredError
+        When it may no longer be sent.
     BackendLostError
         When the server may have read the request.
     """
@@ -271,6 +281,8 @@
         answer = HttpAnswer(call.method)
     await _async_connect(call, answer)
     try:
+        if not call.may_send():
+            raise PermitExpiredError(call.address)
         answer.send(call.encode())
         await answer.async_head()
     except BaseException:
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -6,10 +6,15 @@
 import attrs
 from absl import logging
 
+from yuccavalve.daemon.counted_control import CountedControl
 from yuccavalve.daemon.engine_prober import EngineProber
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.daemon.lease_loop import LeaseLoop
-from yuccavalve.fleet.activity import engine_key, engine_key_hash
+from yuccavalve.fleet.activity import (
+    engine_key,
+    engine_key_hash,
+    process_hash,
+)
 from yuccavalve.formation import (
     Demand,
     FormationInput,
@@ -45,14 +50,20 @@
     _demands: dict[str, Demand] = attrs.field(factory=dict)
     _demand_logged_at_s: float = _NEVER_S
     _term: int = 0
+    _orders: CountedControl = attrs.field(init=False)
     _prober: EngineProber = attrs.field(init=False)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
+    @_orders.default
+    def _new_orders(self) -> CountedControl:
+        node = self.node
+        return CountedControl(node.ports.orders, node.grantor, node.clock)
+
     @_prober.default
     def _new_prober(self) -> EngineProber:
         node = self.node
         return EngineProber(
-            node.ports.orders,
+            self._orders,
             node.view,
             node.clock,
             node.loop_delay,
@@ -101,7 +112,7 @@
             (
                 (record, interval_s)
                 for record, interval_s in self._suspects(facts)
-                if now_s >= self.node.activity.backoff_until_s(record)
+                if self._may_probe(record, now_s)
             ),
             now_s,
         )
@@ -115,6 +126,12 @@
             )
         self._log_demand(service, facts, now_s)
 
+    def _may_probe(self, record: EngineRecord, now_s: float) -> bool:
+        node = self.node
+        if now_s < node.activity.backoff_until_s(record):
+            return False
+        return node.grantor.allows_check(process_hash(record), now_s)
+
     def _log_demand(
         self,
         service: ServiceProfile,
@@ -230,7 +247,7 @@
         if not self.lease.is_held():
             return
         sent_at_s = self.node.clock.now_s()
-        outcome = await self.node.ports.orders.async_order(
+        outcome = await self._orders.async_order(
             task.engine,
             task.order,
         )
--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -6,7 +6,11 @@
 from starlette.routing import Route
 
 from yuccavalve.daemon.gateway_node import GatewayNode
-from yuccavalve.observability.metrics import Metrics, add_quarantine_gauges
+from yuccavalve.observability.metrics import (
+    Metrics,
+    add_limit_gauges,
+    add_quarantine_gauges,
+)
 
 __all__ = ('metrics_application',)
 
@@ -54,6 +58,10 @@
     metrics.gauge('serves_as_hub', lambda: int(node.serves_as_hub()))
     metrics.gauge('cell_daemons', node.share_state.cell_size)
     add_quarantine_gauges(metrics, node.share_state.quarantine)
+    add_limit_gauges(metrics, node.limiter, node.grantor, node.clock)
+    metrics.labelled_gauges(
+        'engine_limit_per_s', ('engine',), lambda: _limits_per_s(node)
+    )
     metrics.gauge(
         'log_lines_left_out', lambda: node.log_rate_limiter.dropped_total
     )
@@ -70,6 +78,13 @@
     }
 
 
+def _limits_per_s(node: GatewayNode) -> dict[tuple[str, ...], float]:
+    return {
+        (node.engine_name(engine),): per_s
+        for engine, per_s in node.limiter.table.in_force().items()
+    }
+
+
 def _routing_age_s(node: GatewayNode) -> float:
     return node.clock.now_s() - node.routing.confirmed_at_s
 
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -16,6 +16,7 @@
     Activity,
     engine_key,
     engine_key_hash,
+    process_hash,
 )
 from yuccavalve.fleet.const import (
     DAEMON_TIMEOUT_PER_MEMBER_S,
@@ -48,6 +49,11 @@
     RoutingFeed,
 )
 from yuccavalve.quarantine import PromptQuarantine
+from yuccavalve.ratelimit import (
+    LimitChange,
+    PermitGrantor,
+    RateLimiter,
+)
 from yuccavalve.routing import RoutingState, RoutingTable
 from yuccavalve.settings import BoundSettings, GatewaySettings
 
@@ -103,6 +109,12 @@
         Set while this daemon plans the replicas.
     loop_delay
         When the event loop was last delayed.
+    limiter
+        Permits for requests to engines that have named a limit.
+    grantor
+        Grants these permits while this daemon plans.
+    member_rows_read
+        Whether the rows of all daemons were read since the start.
     """
 
     settings: GatewaySettings
@@ -118,6 +130,9 @@
     gateway: Gateway
     entry_directory: EntryDirectory
     hubs: HubRanking
+    limiter: RateLimiter
+    grantor: PermitGrantor
+    member_rows_read: bool = False
     log_rate_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
     urgent_update: asyncio.Event = attrs.field(factory=asyncio.Event)
     engines_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -207,6 +222,33 @@
                 )
                 self.engines_changed.set()
 
+    def record_limit_change(self, change: LimitChange) -> None:
+        """Log a limit that began, changed or ended, and tell others."""
+        logging.info(
+            'event=engine_limit engine=%s per_s=%s previous_per_s=%s',
+            self.engine_name(change.engine),
+            change.per_s,
+            change.previous_per_s,
+        )
+        if change.tightens:
+            self.urgent_update.set()
+
+    def engine_name(self, engine: int) -> str:
+        """Return the name of an engine by the id of its start."""
+        for record in self.view.records():
+            if process_hash(record) == engine:
+                return record.engine
+        return f'unlisted-{engine:08x}'
+
+    def known_daemons(self) -> int:
+        """Return how many daemons may run; 0 before their rows were read."""
+        return len(self.roster.members()) if self.member_rows_read else 0
+
+    def planner_addresses(self) -> list[str]:
+        """Return the peer address of the daemon that plans, if known."""
+        planner = self.roster.get(self.planner())
+        return [] if planner is None else [planner.peer_address]
+
     def live_daemons(self) -> int:
         """Return the number of live daemons, this one included."""
         return len(self.roster.live(self.clock.now_s()))
@@ -245,8 +287,6 @@
         DAEMON_TIMEOUT_S,
         DAEMON_TIMEOUT_PER_MEMBER_S,
     )
-    bounds = settings.bounds
-    ports.notices.sink = EngineNotices(view, activity, clock, random)
     quarantine = PromptQuarantine(
         random, lambda: len(roster.live(clock.now_s()))
     )
@@ -257,7 +297,7 @@
         ports.backend,
         activity,
         ServiceRetryBudgets(
-            _budget_settings(bounds),
+            _budget_settings(settings.bounds),
             lambda: len(roster.live(clock.now_s())),
         ),
         clock,
@@ -265,10 +305,16 @@
         quarantine,
     )
     share_state = ShareState(
-        roster, activity, routing, clock, random, quarantine=quarantine
+        roster,
+        activity,
+        routing,
+        clock,
+        random,
+        quarantine=quarantine,
+        limits=dispatcher.selector.limiter.table,
     )
     gateway = Gateway(ports.decoder, routing, dispatcher, clock, random)
-    return GatewayNode(
+    node = GatewayNode(
         settings=settings,
         ports=ports,
         clock=clock,
@@ -286,9 +332,23 @@
             gateway.stop,
             clock,
             random,
-            bounds.entry_lifetime_s,
+            settings.bounds.entry_lifetime_s,
         ),
         hubs=HubRanking(roster),
+        limiter=dispatcher.selector.limiter,
+        grantor=PermitGrantor(dispatcher.selector.limiter.table),
+    )
+    _connect_limits(node)
+    return node
+
+
+def _connect_limits(node: GatewayNode) -> None:
+    """Connect what engines say of themselves with the daemon's state."""
+    limiter = node.limiter
+    limiter.daemon_count = node.known_daemons
+    limiter.table.on_change = node.record_limit_change
+    node.ports.notices.sink = EngineNotices(
+        node.view, node.activity, limiter.table, node.clock, node.random
     )
 
 
--- a/yuccavalve/daemon/gateway_peers.py
+++ b/yuccavalve/daemon/gateway_peers.py
@@ -243,6 +243,7 @@
         rows = await table.async_scan(MEMBER_PREFIX)
         members = [Member(**row.fields) for row in rows]
         self.node.roster.learn_all(members)
+        self.node.member_rows_read = True
         self.node.roster.forget_except(
             (member.member for member in members),
             self.node.clock.now_s(),
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -20,6 +20,7 @@
 )
 from yuccavalve.daemon.gateway_peers import MemberLoop, ShareLoop
 from yuccavalve.daemon.lease_loop import LeaseLoop
+from yuccavalve.daemon.permit_loop import PermitLoop
 from yuccavalve.daemon.quarantine_loop import QuarantineLoop
 from yuccavalve.daemon.settings_loop import SettingsLoop
 from yuccavalve.exceptions import (
@@ -100,6 +101,7 @@
         )
         self._member_loop = MemberLoop(node)
         self._lease_loop = LeaseLoop(node)
+        node.grantor.term = self._lease_loop.term
         self._signals: asyncio.Queue[int] = asyncio.Queue()
         self._servers: list[HttpServer] = []
         self._peer_server: PeerServer | None = None
@@ -159,6 +161,7 @@
             ShareLoop(node).async_run(),
             StallLoop(node).async_run(),
             self._quarantine_loop().async_run(),
+            self._permit_loop().async_run(),
             self._lease_loop.async_run(),
             self._settings_loop.async_run(),
             FormationDuty(node, self._lease_loop).async_run(),
@@ -174,12 +177,27 @@
             self._lease_loop.is_held,
         )
 
+    def _permit_loop(self) -> PermitLoop:
+        node = self._node
+        return PermitLoop(
+            node.limiter,
+            node.grantor,
+            node.peers,
+            node.clock,
+            node.random,
+            node.roster.local_member.member,
+            node.planner_addresses,
+        )
+
     async def _async_listen(self) -> None:
         node = self._node
         listen = node.settings.listen
         # gRPC binds a server to the event loop that runs at its creation.
         servicer = ShareServicer(
-            node.share_state, node.view, node.urgent_update.set
+            node.share_state,
+            node.view,
+            node.urgent_update.set,
+            node.grantor,
         )
         self._peer_server = PeerServer(servicer, _PEER_KEY)
         bound = {
--- a/yuccavalve/daemon/lease_loop.py
+++ b/yuccavalve/daemon/lease_loop.py
@@ -58,6 +58,13 @@
         """Return whether this daemon holds the planner lease."""
         return self.lease.is_held(self.node.clock.now_s())
 
+    def term(self) -> int | None:
+        """Return the term of the lease; None while it is not held."""
+        condition = self.lease.term_condition
+        if condition is None or not self.is_held():
+            return None
+        return condition.version or 0
+
     async def async_run(self) -> None:
         """Renew or contend for the lease until cancelled."""
         while True:
--- a/yuccavalve/exceptions.py
+++ b/yuccavalve/exceptions.py
@@ -9,6 +9,7 @@
     'EngineRefusedError',
     'EngineUnreachableError',
     'FeedHistoryLostError',
+    'PermitExpiredError',
     'RequestRefusedError',
     'RevisionConflictError',
     'SettingsInvalidError',
@@ -45,6 +46,10 @@
     """No connection was made, so no byte of the request was sent."""
 
 
+class PermitExpiredError(BackendNotReachedError):
+    """The permit ran out before the request was sent."""
+
+
 class BackendLostError(YuccavalveError):
     """The exchange failed after the request may have been sent."""
 
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -27,6 +27,7 @@
     'EngineRun',
     'engine_key',
     'engine_key_hash',
+    'process_hash',
     'process_key',
 )
 
@@ -343,6 +344,11 @@
     return key.rpartition('/')[0]
 
 
+def process_hash(record: EngineRecord) -> int:
+    """Return the 32-bit id by which daemons tell of a start of an engine."""
+    return engine_key_hash(process_key(engine_key(record)))
+
+
 def _stall_timeout_s(runs: list[EngineRun]) -> float:
     """Return the time without events after which an engine has stalled.
 
--- a/yuccavalve/fleet/notices.py
+++ b/yuccavalve/fleet/notices.py
@@ -6,10 +6,11 @@
 from absl import logging
 
 from yuccavalve.clock import Clock
-from yuccavalve.fleet.activity import Activity, engine_key
+from yuccavalve.fleet.activity import Activity, process_hash
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.load import requested_backoff
 from yuccavalve.ports.fleet import EngineNotice, EngineRecord, NoticeSink
+from yuccavalve.ratelimit import LimitTable, parse_limit
 
 __all__ = ('EngineNotices', 'NoticeRelay')
 
@@ -30,10 +31,11 @@
 
 @attrs.frozen
 class EngineNotices:
-    """Applies notices to the view and the activity of a daemon."""
+    """Applies notices to the state of a daemon."""
 
     view: FleetView
     activity: Activity
+    limits: LimitTable
     clock: Clock
     random: Random
 
@@ -48,13 +50,25 @@
         if notice.retry_after is not None:
             self._back_off(engine, notice.retry_after)
         if notice.limit is not None:
-            logging.info(
-                'event=engine_limit engine=%s load=%d asked=%r',
-                engine.engine,
-                self.activity.local_load(engine_key(engine)),
-                notice.limit,
+            self._record_limit(engine, notice.limit)
+        elif notice.asked_at_s is not None:
+            self.limits.record_unnamed(
+                process_hash(engine), notice.asked_at_s, self.clock.now_s()
             )
 
+    def _record_limit(self, engine: EngineRecord, asked: str) -> None:
+        per_s = parse_limit(asked)
+        now_s = self.clock.now_s()
+        if per_s is not None:
+            self.limits.record_named(process_hash(engine), per_s, now_s)
+            return
+        self.limits.record_unreadable(process_hash(engine), now_s)
+        logging.info(
+            'event=engine_limit_unreadable engine=%s asked=%r',
+            engine.engine,
+            asked,
+        )
+
     def _back_off(self, engine: EngineRecord, asked: str) -> None:
         backoff = requested_backoff(asked, self.random)
         until_s = self.clock.now_s() + backoff.duration_s
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -18,12 +18,14 @@
 from yuccavalve.exceptions import (
     BackendLostError,
     BackendNotReachedError,
+    PermitExpiredError,
     RequestRefusedError,
 )
 from yuccavalve.fleet.activity import (
     Activity,
     EngineRun,
     engine_key,
+    process_hash,
     process_key,
 )
 from yuccavalve.fleet.const import BROKEN_AVOID_S, LOST_AVOID_S
@@ -55,6 +57,7 @@
     PromptQuarantine,
     QuarantineHit,
 )
+from yuccavalve.ratelimit import Permit
 from yuccavalve.results import ResultCode
 from yuccavalve.routing import RequestKind, Route, ServiceProfile
 
@@ -75,6 +78,7 @@
     engine: EngineRecord
     run: EngineRun
     had_free_slot: bool
+    permit: Permit | None
     answer: BackendAnswer | None = None
 
     @property
@@ -126,6 +130,7 @@
                     prompt_parts=routed.inbound.prompt_parts,
                 ),
                 had_free_slot=self._has_free_slot(service, engine),
+                permit=self.selector.limiter.take(process_hash(engine), now_s),
             )
             if await self._async_attempt(routed, attempt):
                 return
@@ -162,9 +167,7 @@
                 )
                 return await self._async_exchange(routed, attempt)
         except BackendNotReachedError as error:
-            routed.connect_attempts += 1
-            self.activity.record_unreached(run.key, self.clock.now_s())
-            self._record_failure(routed, attempt, 'not_reached', error)
+            self._record_not_sent(routed, attempt, error)
         except BackendLostError as error:
             routed.may_have_run = True
             self._record_lost(routed, attempt, error)
@@ -371,12 +374,32 @@
             deadline_s=routed.deadline_at_s - self.clock.now_s(),
             priority=_engine_priority(routed, attempt),
             resume_after=resume_after,
+            may_send=lambda: self._may_send(attempt),
+            created_at_s=self.clock.now_s(),
+        )
+
+    def _may_send(self, attempt: _Attempt) -> bool:
+        return self.selector.limiter.may_send(
+            process_hash(attempt.engine), attempt.permit, self.clock.now_s()
         )
 
     def _avoid(self, attempt: _Attempt, duration_s: float) -> None:
         until_s = self.clock.now_s() + duration_s
         self.activity.avoid(attempt.run.key, until_s)
 
+    def _record_not_sent(
+        self,
+        routed: RoutedRequest,
+        attempt: _Attempt,
+        error: BackendNotReachedError,
+    ) -> None:
+        routed.connect_attempts += 1
+        outcome = 'permit_expired'
+        if not isinstance(error, PermitExpiredError):
+            outcome = 'not_reached'
+            self.activity.record_unreached(attempt.run.key, self.clock.now_s())
+        self._record_failure(routed, attempt, outcome, error)
+
     def _record_lost(
         self,
         routed: RoutedRequest,
--- a/yuccavalve/gateway/selection.py
+++ b/yuccavalve/gateway/selection.py
@@ -12,7 +12,7 @@
 import attrs
 
 from yuccavalve.exceptions import RequestRefusedError
-from yuccavalve.fleet.activity import Activity, engine_key
+from yuccavalve.fleet.activity import Activity, engine_key, process_hash
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.gateway.const import (
     ASSUMED_PLAIN_S,
@@ -32,8 +32,9 @@
     expected_wait_s,
     queue_retry_after_s,
 )
-from yuccavalve.observability.explain import UNSOUND_PREFIX
+from yuccavalve.observability.explain import LIMITED_PREFIX, UNSOUND_PREFIX
 from yuccavalve.ports.fleet import EngineRecord
+from yuccavalve.ratelimit import RateLimiter
 from yuccavalve.results import ResultCode
 from yuccavalve.routing import ServiceProfile
 
@@ -64,6 +65,8 @@
         Decides how long a request may wait for a slot.
     choices
         Chooses among the engines that can take it.
+    limiter
+        Decides whether an engine that has named a limit may be used.
     """
 
     view: FleetView
@@ -73,6 +76,11 @@
     times: ServiceTimes = attrs.field(factory=ServiceTimes)
     waits: WaitPolicy = attrs.field(factory=BoundedWait)
     choices: ChoicePolicy = attrs.field(factory=TwoChoices)
+    limiter: RateLimiter = attrs.field(
+        default=attrs.Factory(
+            lambda selector: RateLimiter(selector.random), takes_self=True
+        )
+    )
 
     def choose(
         self,
@@ -104,23 +112,79 @@
                 f'none of them sound{_unsound_text(untried, sound)}',
                 self._backoff_s(untried, now_s),
             )
-        best = self._best(service, sound)
+        allowed = self._allowed(service, sound, now_s)
+        best = self._permitted_or_best(service, allowed, now_s)
         limit_s = self.waits.limit_s(self._queued(service, routed, now_s))
         if self.expected_wait_s(service, best, routed) > max(0, limit_s):
-            best = self._shortest_queue(service, sound)
+            best = self._shortest_queue(service, allowed)
         wait_s = self.expected_wait_s(service, best, routed)
         if wait_s > max(0, limit_s):
             load = self.activity.load(engine_key(best))
             raise self._refusal(
                 ResultCode.QUEUE_FULL,
                 queue_retry_after_s(wait_s, limit_s),
-                f'{len(sound)} sound engines of {len(candidates)}, the freest '
-                f'has {load} requests for {slots(service, best)} slots, '
+                f'{len(allowed)} sound engines of {len(candidates)}, the '
+                f'freest has {load} requests for {slots(service, best)} slots, '
                 f'wait {_ms(wait_s)} of {_ms(limit_s)} ms'
                 f'{_unsound_text(untried, sound)}',
             )
         return best
 
+    def _allowed(
+        self,
+        service: ServiceProfile,
+        sound: Sequence[EngineRecord],
+        now_s: float,
+    ) -> Sequence[EngineRecord]:
+        """Return the engines that may be used within their limits.
+
+        An engine that would be chosen but for its limit counts as wanted.
+        """
+        limiter = self.limiter
+        if not limiter.table.has_limits:
+            return sound
+        allowed = [
+            each for each in sound if limiter.allows(process_hash(each), now_s)
+        ]
+        if len(allowed) == len(sound):
+            return allowed
+        wanted = self._best(service, sound)
+        if wanted not in allowed:
+            limiter.pass_over(process_hash(wanted), now_s)
+        if allowed:
+            return allowed
+        names = ' '.join(each.engine for each in sound[:MAX_LOGGED_ENGINES])
+        raise self._refusal(
+            ResultCode.ENGINES_LIMITED,
+            limiter.retry_after_s([process_hash(each) for each in sound]),
+            f'no permit for any of {len(sound)} sound engines, '
+            f'{LIMITED_PREFIX} {names}',
+        )
+
+    def _permitted_or_best(
+        self,
+        service: ServiceProfile,
+        allowed: Sequence[EngineRecord],
+        now_s: float,
+    ) -> EngineRecord:
+        """Return the best engine; of equal ones one with a permit.
+
+        A permit that is not used soon is lost to all daemons.
+        """
+        best = self._best(service, allowed)
+        if not self.limiter.permits_held(now_s):
+            return best
+        permitted = [
+            each
+            for each in allowed
+            if self.limiter.has_permit(process_hash(each), now_s)
+        ]
+        if not permitted:
+            return best
+        free = self._shortest_queue(service, permitted)
+        free_load = self._load_per_slot(service, free)
+        return free if free_load <= self._load_per_slot(service, best) else best
+
     def _backoff_s(
         self, engines: Sequence[EngineRecord], now_s: float
     ) -> float:
--- a/yuccavalve/observability/explain.py
+++ b/yuccavalve/observability/explain.py
@@ -8,10 +8,18 @@
 
 from yuccavalve.prompts import PART_PREFIX, part_from_log
 
-__all__ = ('UNSOUND_PREFIX', 'LogLine', 'read_lines', 'request_timeline')
+__all__ = (
+    'LIMITED_PREFIX',
+    'UNSOUND_PREFIX',
+    'LogLine',
+    'read_lines',
+    'request_timeline',
+)
 
-# Precedes the names of the unhealthy engines in the cause of a refusal.
+# Precede the names of engines in the cause of a refusal: of those that are
+# unhealthy, and of those that are at their limits.
 UNSOUND_PREFIX = 'unsound:'
+LIMITED_PREFIX = 'limited:'
 
 # How long before a request began an event may still explain its outcome.
 _LOOKBACK_S = 6.0
@@ -36,6 +44,8 @@
 _ENGINE_FIELDS = ('engine', 'head')
 # Events of a part of the prompt explain a refusal however old they are.
 _PART_EVENT_PREFIX = 'prompt_part_'
+# So do the limits of engines at the daemons that handled the request.
+_LIMIT_EVENT = 'engine_limit'
 _HIDDEN_FIELDS = frozenset(('at', 'level', 'process', 'event'))
 
 
@@ -113,7 +123,7 @@
         return []
     processes = {line.process for line in own_lines}
     engines = {line.fields.get('engine') for line in own_lines} - {None, ''}
-    engines.update(*map(_unhealthy_engines, own_lines))
+    engines.update(*map(_refused_engines, own_lines))
     parts = set().union(*map(_named_parts, own_lines))
     begin_s = min(_request_began_s(line) for line in own_lines) - _LOOKBACK_S
     end_s = max(line.time_of_day_s for line in own_lines)
@@ -121,7 +131,13 @@
         line
         for line in ordered
         if line in own_lines
-        or (_part_of_event(line) in parts and line.time_of_day_s <= end_s)
+        or (
+            line.time_of_day_s <= end_s
+            and (
+                _part_of_event(line) in parts
+                or _is_limit(line, processes, engines)
+            )
+        )
         or (
             begin_s <= line.time_of_day_s <= end_s
             and _is_relevant(line, processes, engines)
@@ -129,10 +145,14 @@
     ]
 
 
-def _unhealthy_engines(line: LogLine) -> list[str]:
-    """Return the engines that a refusal names as unhealthy."""
-    _, _, named = str(line.fields.get('cause', '')).partition(UNSOUND_PREFIX)
-    return named.split()
+def _refused_engines(line: LogLine) -> list[str]:
+    """Return the engines that a refusal names as unhealthy or limited."""
+    cause = str(line.fields.get('cause', ''))
+    names: list[str] = []
+    for prefix in (UNSOUND_PREFIX, LIMITED_PREFIX):
+        _, _, named = cause.partition(prefix)
+        names.extend(named.split())
+    return names
 
 
 def _named_parts(line: LogLine) -> set[str]:
@@ -143,6 +163,13 @@
     return {part_from_log(name) for name in names if name}
 
 
+def _is_limit(line: LogLine, processes: set[str], engines: set[Any]) -> bool:
+    """Return whether a daemon learned the limit of one of the engines."""
+    if line.event != _LIMIT_EVENT or line.process not in processes:
+        return False
+    return line.fields.get('engine') in engines
+
+
 def _part_of_event(line: LogLine) -> str:
     """Return the part that an event is about; empty for other events."""
     if not line.event.startswith(_PART_EVENT_PREFIX):
--- a/yuccavalve/observability/metrics.py
+++ b/yuccavalve/observability/metrics.py
@@ -13,9 +13,16 @@
     SummaryMetricFamily,
 )
 
+from yuccavalve.clock import Clock
 from yuccavalve.quarantine import PromptQuarantine
+from yuccavalve.ratelimit import PermitGrantor, RateLimiter
 
-__all__ = ('Metrics', 'RequestMeasurement', 'add_quarantine_gauges')
+__all__ = (
+    'Metrics',
+    'RequestMeasurement',
+    'add_limit_gauges',
+    'add_quarantine_gauges',
+)
 
 _LOWEST_MS = 1
 _HIGHEST_MS = 3600000
@@ -24,7 +31,7 @@
 
 _LabelledSeries = tuple[
     tuple[str, ...],
-    Callable[[], Mapping[tuple[str, ...], int]],
+    Callable[[], Mapping[tuple[str, ...], float]],
 ]
 
 
@@ -75,7 +82,7 @@
         self,
         name: str,
         labels: tuple[str, ...],
-        read: Callable[[], Mapping[tuple[str, ...], int]],
+        read: Callable[[], Mapping[tuple[str, ...], float]],
     ) -> None:
         """Add labelled gauges; ``read`` is called at each scrape."""
         self._labelled_gauges[name] = (labels, read)
@@ -123,6 +130,24 @@
             yield GaugeMetricFamily(f'yuccavalve_{name}', name, read())
 
 
+def add_limit_gauges(
+    metrics: Metrics,
+    limiter: RateLimiter,
+    grantor: PermitGrantor,
+    clock: Clock,
+) -> None:
+    """Add gauges and counters of the limits that engines name."""
+    metrics.gauge('engines_limited', lambda: len(limiter.table.in_force()))
+    metrics.gauge('permits_held', lambda: limiter.permits_held(clock.now_s()))
+    metrics.gauge('permits_granted', lambda: grantor.granted)
+    metrics.gauge('limits_passed_over', lambda: limiter.passed_over)
+    metrics.labelled_counters(
+        'permits_used',
+        ('source',),
+        lambda: {(source,): count for source, count in limiter.used.items()},
+    )
+
+
 def add_quarantine_gauges(
     metrics: Metrics, quarantine: PromptQuarantine
 ) -> None:
--- a/yuccavalve/peers/peer_state.py
+++ b/yuccavalve/peers/peer_state.py
@@ -28,6 +28,7 @@
 from yuccavalve.membership import Member, PeerView, Roster
 from yuccavalve.peers.configurations import voter_age
 from yuccavalve.peers.generated import peer_pb2
+from yuccavalve.peers.limit_news import decode_limits, encode_news
 from yuccavalve.peers.messages import (
     AGE_UNIT_S,
     age_byte,
@@ -41,6 +42,7 @@
     encode_quarantine,
 )
 from yuccavalve.quarantine import PromptQuarantine
+from yuccavalve.ratelimit import LimitTable
 from yuccavalve.replicas import Grant, GrantTable, ReplicaTable
 from yuccavalve.replicas.store import decode_replica, encode_replica
 
@@ -82,6 +84,7 @@
     random: Random
     own_demands: Callable[[], Mapping[DemandKey, int]] = dict
     quarantine: PromptQuarantine = attrs.field(factory=PromptQuarantine)
+    limits: LimitTable = attrs.field(factory=LimitTable)
     view: PeerView = attrs.field(init=False)
     new_until_s: float = attrs.field(init=False)
 
@@ -106,6 +109,7 @@
             replicas_digest=self.replica_table.digest(),
             members_digest=self.roster.index().digest,
             quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
+            limits=encode_news(self.limits, self.clock.now_s()),
         )
         if introduce or self.is_new() or self.roster.local_member.leaving:
             message.sender.CopyFrom(encode_member(self.roster.local_member))
@@ -127,8 +131,10 @@
             demands=encode_demands(self.own_demands(), self._demand_order()),
             members_digest=self.roster.index().digest,
             quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
+            limits=encode_news(self.limits, self.clock.now_s()),
         )
         self._read_quarantine(request.quarantine, now_s)
+        self.limits.apply(decode_limits(request.limits, now_s), now_s)
         if request.HasField('sender'):
             self.roster.learn(decode_member(request.sender))
             self.view.add(request.sender.member)
@@ -171,6 +177,9 @@
         if sender is not None:
             self._read_sender(sender, reply, sent_at_s)
         self._read_quarantine(reply.quarantine, sent_at_s)
+        self.limits.apply(
+            decode_limits(reply.limits, sent_at_s), self.clock.now_s()
+        )
         unknown = self._read_members(by_id, reply, sent_at_s)
         self._read_voters(reply, sent_at_s)
         self._read_grants(reply, sent_at_s)
--- a/yuccavalve/peers/share_server.py
+++ b/yuccavalve/peers/share_server.py
@@ -7,8 +7,10 @@
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.peers.engine_news import build_engine_news
 from yuccavalve.peers.generated import peer_pb2, peer_pb2_grpc
+from yuccavalve.peers.limit_news import answer_permits
 from yuccavalve.peers.messages import age_ms, pack_document
 from yuccavalve.peers.sharing import ShareState
+from yuccavalve.ratelimit import PermitGrantor
 
 __all__ = ('ShareServicer',)
 
@@ -21,6 +23,7 @@
         share_state: ShareState,
         view: FleetView,
         on_urgent: Callable[[], None],
+        grantor: PermitGrantor,
     ) -> None:
         """Initialize the servicer.
 
@@ -30,6 +33,7 @@
         self._share_state = share_state
         self._view = view
         self._on_urgent = on_urgent
+        self._grantor = grantor
         self._packed_version = 0
         self._packed = b''
 
@@ -53,6 +57,11 @@
             )
         return reply
 
+    async def Permits(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Grant permits for requests if this daemon plans."""
+        now_s = self._share_state.clock.now_s()
+        return answer_permits(self._grantor, request, now_s)
+
     async def Routes(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Return the routes in force at this daemon."""
         routing = self._share_state.routing
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -29,12 +29,14 @@
 )
 from yuccavalve.peers.exchanges import ExchangeTimes
 from yuccavalve.peers.generated import peer_pb2
+from yuccavalve.peers.limit_news import decode_limits, encode_news
 from yuccavalve.peers.messages import age_ms, decode_member, encode_member
 from yuccavalve.peers.quarantine_news import (
     decode_quarantine,
     encode_quarantine,
 )
 from yuccavalve.quarantine import PromptQuarantine
+from yuccavalve.ratelimit import LimitTable
 from yuccavalve.routing import RoutingState
 
 __all__ = ('CellUpdate', 'DaemonUpdate', 'ShareState')
@@ -112,6 +114,8 @@
         Times of the last exchanges with other hubs.
     quarantine
         Parts of prompts that crash engines.
+    limits
+        Limits that engines have named.
     """
 
     roster: Roster
@@ -127,6 +131,7 @@
     unknown_daemons: bool = False
     exchanges: ExchangeTimes = attrs.field(factory=ExchangeTimes)
     quarantine: PromptQuarantine = attrs.field(factory=PromptQuarantine)
+    limits: LimitTable = attrs.field(factory=LimitTable)
     _sequence: int = 0
     _updates: dict[str, DaemonUpdate] = attrs.field(factory=dict)
     _followers: dict[str, float] = attrs.field(factory=dict)
@@ -154,6 +159,7 @@
             sender=self._local_entry(with_loads=follows or self.follows),
             follows=follows,
             quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
+            limits=encode_news(self.limits, self.clock.now_s()),
         )
         if follows or not self._reports_cell():
             return message
@@ -177,6 +183,7 @@
             protocol=PROTOCOL_VERSION,
             sender=self._local_entry(with_loads=self.follows),
             quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
+            limits=encode_news(self.limits, self.clock.now_s()),
         )
         if not request.follows:
             self._followers.pop(request.sender.member.member, None)
@@ -240,6 +247,9 @@
             decode_quarantine(message.quarantine, sent_at_s),
             self.clock.now_s(),
         )
+        self.limits.apply(
+            decode_limits(message.limits, sent_at_s), self.clock.now_s()
+        )
         return urgent or self.quarantine.take_urgent_news()
 
     def has_followers(self) -> bool:
--- a/yuccavalve/peers/state_server.py
+++ b/yuccavalve/peers/state_server.py
@@ -7,7 +7,9 @@
     unpack_configuration,
 )
 from yuccavalve.peers.generated import peer_pb2, peer_pb2_grpc
+from yuccavalve.peers.limit_news import answer_permits
 from yuccavalve.peers.peer_state import PeerState
+from yuccavalve.ratelimit import PermitGrantor
 
 __all__ = ('StateServicer',)
 
@@ -15,8 +17,9 @@
 class StateServicer(peer_pb2_grpc.PeerServicer):
     """Serves the state of this daemon to peers."""
 
-    def __init__(self, state: PeerState) -> None:
+    def __init__(self, state: PeerState, grantor: PermitGrantor) -> None:
         self._state = state
+        self._grantor = grantor
 
     async def Pull(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Return the digest."""
@@ -37,6 +40,11 @@
             reply.configuration = pack_configuration(adoption.configuration)
         return reply
 
+    async def Permits(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Grant permits for requests if this daemon plans."""
+        now_s = self._state.clock.now_s()
+        return answer_permits(self._grantor, request, now_s)
+
     async def Describe(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Return the replica records and members that the peer lacks."""
         return self._state.describe(request)
--- a/yuccavalve/ports/backend.py
+++ b/yuccavalve/ports/backend.py
@@ -1,6 +1,6 @@
 """Protocols for requests to backend servers and their answers."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import StrEnum
 from typing import Protocol
 
@@ -14,11 +14,17 @@
     'BackendRequest',
     'BodyFraming',
     'HeaderFields',
+    'always',
 )
 
 HeaderFields = Sequence[tuple[bytes, bytes]]
 
 
+def always() -> bool:
+    """Return that a request may be sent."""
+    return True
+
+
 class BodyFraming(StrEnum):
     """How the end of an answer's body is marked (RFC 9112, section 6)."""
 
@@ -47,6 +53,10 @@
     resume_after
         Id of the last event that the caller received; None starts from
         the first event.
+    may_send
+        Returns, once the connection is made, whether it may still be sent.
+    created_at_s
+        Monotonic time before it was sent.
     """
 
     request_id: str
@@ -59,6 +69,8 @@
     deadline_s: float
     priority: int | None = None
     resume_after: str | None = None
+    may_send: Callable[[], bool] = always
+    created_at_s: float = 0
 
 
 class BackendAnswer(Protocol):
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -222,11 +222,15 @@
     limit
         Requests a second that it takes from all daemons together, as sent;
         None if it names no limit.
+    asked_at_s
+        Monotonic time at which the request was sent that the engine itself
+        answers; None for other answers, whose silence says nothing.
     """
 
     leaving: bool = False
     retry_after: str | None = None
     limit: str | None = None
+    asked_at_s: float | None = None
 
 
 class NoticeSink(Protocol):
--- /dev/null
+++ b/yuccavalve/ratelimit/grantor.py
@@ -0,0 +1,157 @@
+"""Grant permits for requests to engines that have named a limit.
+
+Only the holder of the planner lease grants, from one token bucket for each
+engine, so that the sum over daemons holds however many there are. A bucket
+begins empty: until then the engine got requests without permits, or permits of
+the previous planner.
+"""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from yuccavalve.ratelimit.const import (
+    ASK_PERIOD_S,
+    ASKER_MAX_AGE_S,
+    ASKS_PER_S,
+    BURST_S,
+    GRANTED_FRACTION,
+    MAX_ASK_PERIOD_S,
+    MAX_DEBT_S,
+    TRIAL_PERIOD_S,
+)
+from yuccavalve.ratelimit.models import (
+    PermitDemand,
+    PermitGrant,
+    PermitGrants,
+)
+from yuccavalve.ratelimit.table import LimitTable
+
+__all__ = ('PermitGrantor',)
+
+
+def _no_term() -> None:
+    """Return that the planner lease is not held."""
+
+
+@attrs.define
+class _Bucket:
+    """Token bucket of one engine; a negative level is a debt."""
+
+    filled_at_s: float
+    level: float = 0
+
+    def fill(self, rate_per_s: float, now_s: float) -> None:
+        """Add the tokens since the last call, up to the capacity."""
+        passed_s = max(0, now_s - self.filled_at_s)
+        capacity = max(1, rate_per_s * BURST_S)
+        self.level = min(capacity, self.level + passed_s * rate_per_s)
+        self.filled_at_s = now_s
+
+    def take(self, wanted: int) -> int:
+        """Take up to a number of whole tokens; return how many."""
+        taken = max(0, min(wanted, int(self.level)))
+        self.level -= taken
+        return taken
+
+
+@attrs.define
+class PermitGrantor:
+    """Token buckets of the engines that have named a limit.
+
+    Attributes
+    ----------
+    term
+        Returns the term of the planner lease while this daemon holds it,
+        None otherwise.
+    granted
+        Permits granted since the start.
+    """
+
+    table: LimitTable
+    term: Callable[[], int | None] = _no_term
+    granted: int = 0
+    _last_term: int | None = None
+    _buckets: dict[int, _Bucket] = attrs.field(factory=dict)
+    _asked_at_s: dict[int, float] = attrs.field(factory=dict)
+
+    def grant(
+        self, member: int, demands: Iterable[PermitDemand], now_s: float
+    ) -> PermitGrants | None:
+        """Return permits for a daemon; None without the planner lease.
+
+        Parameters
+        ----------
+        member
+            32-bit id of the daemon.
+        demands
+            The daemon's demands.
+        now_s
+            Monotonic time.
+        """
+        if not self._holds_lease():
+            return None
+        self._record_asker(member, now_s)
+        grants = []
+        wait_s = MAX_ASK_PERIOD_S
+        for demand in demands:
+            self.spend(demand.engine, demand.spent, now_s)
+            bucket = self._bucket(demand.engine, now_s)
+            if bucket is None:
+                continue
+            permits = bucket.take(demand.wanted)
+            if permits:
+                grants.append(PermitGrant(demand.engine, permits))
+            missing = max(0, 1 - bucket.level)
+            wait_s = min(wait_s, missing / self._rate_per_s(demand.engine))
+        self.granted += sum(each.permits for each in grants)
+        return PermitGrants(tuple(grants), max(wait_s, self._ask_period_s()))
+
+    def spend(self, engine: int, count: int, now_s: float) -> None:
+        """Record calls that were made without a permit."""
+        bucket = self._bucket(engine, now_s) if count else None
+        if bucket is not None:
+            debt = max(1, self._rate_per_s(engine) * MAX_DEBT_S)
+            bucket.level = max(-debt, bucket.level - count)
+
+    def allows_check(self, engine: int, now_s: float) -> bool:
+        """Return whether a check may be sent, even before requests are."""
+        if not self._holds_lease():
+            return True
+        bucket = self._bucket(engine, now_s)
+        return bucket is None or bucket.level > -1
+
+    def _holds_lease(self) -> bool:
+        """Return whether this daemon may grant; a new term begins anew."""
+        term = self.term()
+        if term is None:
+            return False
+        if term != self._last_term:
+            self._last_term = term
+            self._buckets.clear()
+        return True
+
+    def _bucket(self, engine: int, now_s: float) -> _Bucket | None:
+        """Return an engine's bucket, filled; None without a limit."""
+        if self.table.per_s(engine) is None:
+            self._buckets.pop(engine, None)
+            return None
+        bucket = self._buckets.setdefault(engine, _Bucket(now_s))
+        bucket.fill(self._rate_per_s(engine), now_s)
+        return bucket
+
+    def _rate_per_s(self, engine: int) -> float:
+        per_s = self.table.per_s(engine) or 0
+        return max(per_s * GRANTED_FRACTION, 1 / TRIAL_PERIOD_S)
+
+    def _record_asker(self, member: int, now_s: float) -> None:
+        self._asked_at_s[member] = now_s
+        self._asked_at_s = {
+            each: at_s
+            for each, at_s in self._asked_at_s.items()
+            if now_s - at_s <= ASKER_MAX_AGE_S
+        }
+
+    def _ask_period_s(self) -> float:
+        period_s = len(self._asked_at_s) / ASKS_PER_S
+        return min(MAX_ASK_PERIOD_S, max(ASK_PERIOD_S, period_s))
