Let permits of small limits be used by daemons with few requests

With 200 daemons and 60 requests a second for an engine that takes 1, half of the permits ran out unused: 5 requests in 20 s (model). A permit of a small limit is now valid until three have been granted.

--- /dev/null
+++ b/tests/ratelimit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the rate limits that engines name."""
--- a/yuccavalve/peers/limit_news.py
+++ b/yuccavalve/peers/limit_news.py
@@ -102,7 +102,11 @@
     return peer_pb2.PermitsReply(
         plans=True,
         grants=[
-            peer_pb2.PermitGrant(engine=grant.engine, permits=grant.permits)
+            peer_pb2.PermitGrant(
+                engine=grant.engine,
+                permits=grant.permits,
+                lifetime_ms=int(grant.lifetime_s * _MS),
+            )
             for grant in granted.grants
         ],
         retry_ms=math.ceil(granted.retry_s * _MS),
@@ -115,7 +119,8 @@
     if not reply.plans:
         return None
     grants = tuple(
-        PermitGrant(grant.engine, grant.permits) for grant in reply.grants
+        PermitGrant(grant.engine, grant.permits, grant.lifetime_ms / _MS)
+        for grant in reply.grants
     )
     return PermitGrants(grants, reply.retry_ms / _MS)
 
--- a/yuccavalve/ratelimit/const.py
+++ b/yuccavalve/ratelimit/const.py
@@ -9,8 +9,12 @@
 RESERVED_FRACTION: Final = 0.2
 # Permits that the planner saves up while nobody asks, as time of granting.
 BURST_S: Final = 0.5
-# How long a permit is valid, from before the daemon asked for it.
+# How long a permit is valid, from before the daemon asked for it. Of a small
+# limit longer, so that few requests at each of many daemons find it: until as
+# many permits have been granted as may be outstanding.
 PERMIT_LIFETIME_S: Final = 1.0
+MAX_PERMIT_LIFETIME_S: Final = 15.0
+OUTSTANDING_PERMITS: Final = 3
 # Lowest rate: only an answer shows that a limit has risen or ended.
 TRIAL_PERIOD_S: Final = 30.0
 # Largest debt that checks and orders can leave, as time of granting.
--- a/yuccavalve/ratelimit/grantor.py
+++ b/yuccavalve/ratelimit/grantor.py
@@ -18,6 +18,9 @@
     GRANTED_FRACTION,
     MAX_ASK_PERIOD_S,
     MAX_DEBT_S,
+    MAX_PERMIT_LIFETIME_S,
+    OUTSTANDING_PERMITS,
+    PERMIT_LIFETIME_S,
     TRIAL_PERIOD_S,
 )
 from yuccavalve.ratelimit.models import (
@@ -101,7 +104,8 @@
                 continue
             permits = bucket.take(demand.wanted)
             if permits:
-                grants.append(PermitGrant(demand.engine, permits))
+                lifetime_s = _lifetime_s(self._rate_per_s(demand.engine))
+                grants.append(PermitGrant(demand.engine, permits, lifetime_s))
             missing = max(0, 1 - bucket.level)
             wait_s = min(wait_s, missing / self._rate_per_s(demand.engine))
         self.granted += sum(each.permits for each in grants)
@@ -155,3 +159,8 @@
     def _ask_period_s(self) -> float:
         period_s = len(self._asked_at_s) / ASKS_PER_S
         return min(MAX_ASK_PERIOD_S, max(ASK_PERIOD_S, period_s))
+
+
+def _lifetime_s(rate_per_s: float) -> float:
+    lifetime_s = max(PERMIT_LIFETIME_S, OUTSTANDING_PERMITS / rate_per_s)
+    return min(MAX_PERMIT_LIFETIME_S, lifetime_s)
--- a/yuccavalve/ratelimit/limiter.py
+++ b/yuccavalve/ratelimit/limiter.py
@@ -166,12 +166,10 @@
         """Add permits; they are valid from before they were asked for."""
         self._unanswered_since_s = None
         self._reserves.clear()
-        valid_until_s = asked_at_s + PERMIT_LIFETIME_S
         for each in granted.grants:
             permits = self._permits.setdefault(each.engine, deque())
-            permits.extend(
-                Permit(each.engine, valid_until_s) for _ in range(each.permits)
-            )
+            permit = Permit(each.engine, asked_at_s + each.lifetime_s)
+            permits.extend(permit for _ in range(each.permits))
 
     def record_unanswered(
         self, demands: list[PermitDemand], now_s: float
--- a/yuccavalve/ratelimit/models.py
+++ b/yuccavalve/ratelimit/models.py
@@ -117,10 +117,17 @@
 
 @attrs.frozen
 class PermitGrant:
-    """Permits granted for one engine."""
+    """Permits granted for one engine.
+
+    Attributes
+    ----------
+    lifetime_s
+        How long they are valid, from before they were asked for.
+    """
 
     engine: int
     permits: int
+    lifetime_s: float
 
 
 @attrs.frozen
