Hold the limits that backend servers name in the product's own path

The same fault as on the gateway path: no daemon read the limit in answers (x-request-limit here), and the sum over daemons had no bound. The same permits now serve this path. The planner's lease grants them; a daemon asks the three that contend for it, which name the holder if it is another. Resumptions at the same engine wait up to 1 s for a permit. Status calls of the verifiers are reported and taken from the limit before requests; they aren't slowed down, since grants depend on them.

--- a/yuccavalve/adapters/backend.py
+++ b/yuccavalve/adapters/backend.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import os
-from collections.abc import Awaitable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Protocol
 
 import attrs
 
 from yuccavalve.adapters.exchange import HttpAnswer, HttpCall, async_exchange
 from yuccavalve.exceptions import BackendLostError
+from yuccavalve.ports.backend import always
 
 __all__ = (
     'BackendCall',
@@ -38,6 +39,8 @@
         Path and query, encoded as they are sent.
     first_byte_s
         Time in seconds within which the head of the answer must arrive.
+    may_send
+        Returns, once the connection is made, whether to send the request.
     """
 
     method: str
@@ -46,6 +49,7 @@
     headers: Mapping[str, str]
     body: bytes
     first_byte_s: float
+    may_send: Callable[[], bool] = always
 
 
 class PollSchedule(Protocol):
@@ -208,4 +212,5 @@
         [(name.encode(), text.encode()) for name, text in fields.items()],
         call.body,
         min(_CONNECT_TIMEOUT_S, call.first_byte_s),
+        call.may_send,
     )
--- a/yuccavalve/daemon/application.py
+++ b/yuccavalve/daemon/application.py
@@ -14,13 +14,18 @@
 from yuccavalve.const import HEADER_RESULT
 from yuccavalve.daemon.node import Node
 from yuccavalve.load import RetryBudget
-from yuccavalve.observability import Metrics, add_quarantine_gauges
+from yuccavalve.observability import (
+    Metrics,
+    add_limit_gauges,
+    add_quarantine_gauges,
+)
 from yuccavalve.operators import OperatorEndpoints
 from yuccavalve.requests import Exchange, Ledger, Pacer, RequestPipeline
 from yuccavalve.requests.admit import Admission, Admit
 from yuccavalve.requests.const import COMPLETIONS_PATH, SERVICES_PREFIX
 from yuccavalve.requests.deduplicate import ClaimLedgerRow, Deduplicate
 from yuccavalve.requests.dispatch import Dispatch, attempt_id
+from yuccavalve.requests.limits import LimitGuard
 from yuccavalve.requests.parse import ParseBody, ParseHeaders, ReadBody
 from yuccavalve.requests.picker import ReplicaPicker
 from yuccavalve.requests.preconditions import (
@@ -84,6 +89,7 @@
             limits.stream_idle_s,
             limits.caller_stall_s,
         )
+        self.limits = LimitGuard(node.limiter, node.clock, node.random)
         self.picker = ReplicaPicker(
             node.replicas,
             node.grants,
@@ -93,6 +99,7 @@
             node.clock,
             node.random,
             limits.max_in_flight,
+            self.limits,
         )
         self.admission = Admission(
             node.adoption,
@@ -107,6 +114,7 @@
         self.metrics.gauge('requests_in_flight', self._in_flight)
         self.metrics.gauge('configuration_version', self._configuration_version)
         add_quarantine_gauges(self.metrics, node.quarantine)
+        add_limit_gauges(self.metrics, node.limiter, node.grantor, node.clock)
         self.metrics.gauge('merge_delay_seconds', lambda: self.pacer.delay_s)
 
     def background_loops(self) -> list:  # type: ignore[type-arg]
@@ -147,12 +155,13 @@
                 node.random,
                 limits.first_byte_s,
                 guard,
+                self.limits,
             ),
             Relay(
                 node.clock,
                 self.pacer,
                 self.watch,
-                EngineResumer(client, node.grants),
+                EngineResumer(client, node.grants, self.limits),
                 node.grants,
                 limits.stream_idle_s,
                 guard,
--- a/yuccavalve/daemon/duty_loop.py
+++ b/yuccavalve/daemon/duty_loop.py
@@ -13,6 +13,7 @@
 )
 from yuccavalve.hashing import rendezvous_order
 from yuccavalve.membership import Lease, LeaseStep
+from yuccavalve.membership.const import PLANNER_CANDIDATES
 from yuccavalve.timing import jittered
 
 __all__ = ('Duty', 'DutyLoop')
@@ -75,7 +76,9 @@
     async def _async_contend(self) -> None:
         now_s = self._node.clock.now_s()
         rank = self._rank(now_s)
-        if self._node.stopping or (rank > 2 and not self._is_held()):
+        if self._node.stopping or (
+            rank >= PLANNER_CANDIDATES and not self._is_held()
+        ):
             return
         await self._async_observe()
         step = self.lease.step(self._node.clock.now_s(), rank)
--- a/yuccavalve/daemon/node.py
+++ b/yuccavalve/daemon/node.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import attrs
+from absl import logging
 
 from yuccavalve.access import read_key
 from yuccavalve.adapters.engine import HttpEngine
@@ -12,14 +13,24 @@
 from yuccavalve.adapters.table import HttpTableStore
 from yuccavalve.clock import BootClock, Clock
 from yuccavalve.configuration import AdoptionState, ConfigurationStore
+from yuccavalve.hashing import rendezvous_order
 from yuccavalve.load import Demands, ReplicaScores
 from yuccavalve.membership import Member, MemberRegistry, Roster
+from yuccavalve.membership.const import DUTY_PLANNER, PLANNER_CANDIDATES
 from yuccavalve.observability.samples import BurnSamples
 from yuccavalve.peers import PeerClient
 from yuccavalve.peers.peer_state import PeerState
 from yuccavalve.ports import EnginePort, HostList, ObjectStore, TableStore
 from yuccavalve.quarantine import PromptQuarantine
 from yuccavalve.quarantine.const import GOSSIP_RELAY_S
+from yuccavalve.ratelimit import (
+    LimitChange,
+    LimitTable,
+    PermitGrantor,
+    RateLimiter,
+    backend_id,
+)
+from yuccavalve.ratelimit.const import GOSSIP_RELAY_S as LIMIT_RELAY_S
 from yuccavalve.replicas import GrantTable, ReplicaStore, ReplicaTable
 from yuccavalve.replicas.usage import ReplicaUsage
 from yuccavalve.settings import Settings
@@ -60,6 +71,8 @@
     refusing
         Whether new requests are refused, since the entry answers that
         named this daemon have expired.
+    members_listed
+        Whether the rows of all members were read since the start.
     """
 
     settings: Settings
@@ -76,6 +89,8 @@
     peers: PeerClient
     peer_state: PeerState
     quarantine: PromptQuarantine
+    limiter: RateLimiter
+    grantor: PermitGrantor
     configurations: ConfigurationStore
     registry: MemberRegistry
     replica_store: ReplicaStore
@@ -85,6 +100,7 @@
     usage: ReplicaUsage = attrs.field(factory=ReplicaUsage)
     stopping: bool = False
     refusing: bool = False
+    members_listed: bool = False
 
     @property
     def local_member(self) -> Member:
@@ -103,6 +119,34 @@
             if member.member != self.local_member.member
         )
 
+    def known_daemons(self) -> int:
+        """Return how many daemons may run; 0 before they were listed."""
+        return len(self.roster.members()) if self.members_listed else 0
+
+    def planner_addresses(self) -> list[str]:
+        """Return the peer addresses of the likeliest planners."""
+        by_id = {
+            member.member: member.peer_address
+            for member in self.roster.entries(self.clock.now_s())
+        }
+        ranked = rendezvous_order(DUTY_PLANNER, by_id)[:PLANNER_CANDIDATES]
+        local_id = self.local_member.member
+        return [by_id[member] for member in ranked if member != local_id]
+
+    def record_limit_change(self, change: LimitChange) -> None:
+        """Log a limit that began, changed or ended."""
+        names = [
+            record.replica
+            for record in self.replicas.all_records()
+            if backend_id(record.replica, record.incarnation) == change.engine
+        ]
+        logging.info(
+            'event=engine_limit engine=%s per_s=%s previous_per_s=%s',
+            *(names or [f'{change.engine:08x}'])[:1],
+            change.per_s,
+            change.previous_per_s,
+        )
+
     def mark_leaving(self) -> None:
         """Mark this daemon as leaving, as seen by peers and entry answers."""
         self.stopping = True
@@ -134,8 +178,9 @@
         clock,
         random,
         quarantine=_quarantine(roster, clock, random),
+        limits=LimitTable(LIMIT_RELAY_S),
     )
-    return Node(
+    node = Node(
         settings=settings,
         keys=keys,
         platform=platform,
@@ -150,12 +195,17 @@
         peers=PeerClient(keys.peer),
         peer_state=peer_state,
         quarantine=peer_state.quarantine,
+        limiter=RateLimiter(random, peer_state.limits),
+        grantor=PermitGrantor(peer_state.limits),
         configurations=ConfigurationStore(platform.table),
         registry=MemberRegistry(platform.table),
         replica_store=ReplicaStore(platform.table),
         engine_caller=engine_caller,
         platform_caller=platform_caller,
     )
+    node.limiter.daemon_count = node.known_daemons
+    peer_state.limits.on_change = node.record_limit_change
+    return node
 
 
 def _quarantine(
--- a/yuccavalve/daemon/permit_loop.py
+++ b/yuccavalve/daemon/permit_loop.py
@@ -1,6 +1,7 @@
 """Ask the holder of the planner lease for permits to send requests."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterable
 from random import Random
 
@@ -93,7 +94,11 @@
             table.known(demand.engine for demand in demands),
             asked_at_s,
         )
-        for address in self.planners():
+        addresses = deque(self.planners())
+        tried = set()
+        while addresses:
+            address = addresses.popleft()
+            tried.add(address)
             try:
                 reply = await self.peers.async_call(
                     address, 'Permits', request, ASK_TIMEOUT_S
@@ -106,6 +111,8 @@
             granted = decode_grants(reply)
             if granted is not None:
                 return granted
+            if reply.planner and reply.planner not in tried:
+                addresses.appendleft(reply.planner)
         return None
 
     def _log_reached(self, reached: bool) -> None:
--- a/yuccavalve/daemon/runner.py
+++ b/yuccavalve/daemon/runner.py
@@ -14,6 +14,7 @@
 from yuccavalve.daemon.electorate_duty import ElectorateDuty
 from yuccavalve.daemon.node import Node, build_node
 from yuccavalve.daemon.peer_loop import PeerLoop
+from yuccavalve.daemon.permit_loop import PermitLoop
 from yuccavalve.daemon.planner_duty import PlannerDuty
 from yuccavalve.daemon.quarantine_loop import QuarantineLoop
 from yuccavalve.daemon.store_loop import StoreLoop
@@ -75,9 +76,11 @@
             DutyLoop(node, DUTY_PLANNER, PlannerDuty(node)),
             DutyLoop(node, DUTY_ELECTORATE, ElectorateDuty(node)),
         )
+        node.grantor.term = self._planner_term
+        node.grantor.holder_address = self._planner_address
         self._store_loop = StoreLoop(node)
         self._peer_server = PeerServer(
-            StateServicer(node.peer_state),
+            StateServicer(node.peer_state, node.grantor),
             node.keys.peer,
         )
         self._http: HttpServer | None = None
@@ -105,6 +108,7 @@
             VerifyLoop(node).async_run(),
             *(duty.async_run() for duty in self._duties),
             self._quarantine_loop().async_run(),
+            self._permit_loop().async_run(),
             *self._requests.background_loops(),
         ]
         self._tasks = [asyncio.create_task(loop) for loop in loops]
@@ -122,6 +126,30 @@
             lambda: planner.is_held(node.clock.now_s()),
         )
 
+    def _permit_loop(self) -> PermitLoop:
+        node = self._node
+        return PermitLoop(
+            node.limiter,
+            node.grantor,
+            node.peers,
+            node.clock,
+            node.random,
+            node.local_member.member,
+            node.planner_addresses,
+        )
+
+    def _planner_address(self) -> str:
+        holder, _ = self._duties[0].lease.holder()
+        member = self._node.roster.get(holder)
+        return '' if member is None else member.peer_address
+
+    def _planner_term(self) -> int | None:
+        lease = self._duties[0].lease
+        if not lease.is_held(self._node.clock.now_s()):
+            return None
+        condition = lease.term_condition
+        return None if condition is None else condition.version or 0
+
     async def async_run_until_stopped(self) -> int:
         signalled = asyncio.create_task(self._signals.get())
         await asyncio.wait(
--- a/yuccavalve/daemon/store_loop.py
+++ b/yuccavalve/daemon/store_loop.py
@@ -119,6 +119,7 @@
         node = self.node
         members = await node.registry.async_list()
         node.roster.learn_all(members)
+        node.members_listed = True
         now_s = node.clock.now_s()
         node.roster.forget_except({member.member for member in members}, now_s)
 
--- a/yuccavalve/daemon/verify_loop.py
+++ b/yuccavalve/daemon/verify_loop.py
@@ -19,6 +19,7 @@
 )
 from yuccavalve.hashing import rendezvous_order
 from yuccavalve.ports import EngineStatus, HostState
+from yuccavalve.ratelimit import backend_id
 from yuccavalve.replicas import Grant, Replica, ReplicaHost, ReplicaState
 from yuccavalve.timing import jittered
 
@@ -56,6 +57,10 @@
     async def async_status(  # noqa: WPS430
         host: ReplicaHost,
     ) -> EngineStatus | None:
+        if host is replica.hosts[0]:
+            node.limiter.record_spent(
+                backend_id(replica.replica, replica.incarnation)
+            )
         try:
             return await node.platform.engines.async_status(host.address)
         except EngineUnreachableError:
--- a/yuccavalve/membership/const.py
+++ b/yuccavalve/membership/const.py
@@ -8,6 +8,8 @@
 TERM_KEY: Final = 'term/{duty}'
 DUTY_PLANNER: Final = 'planner'
 DUTY_ELECTORATE: Final = 'electorate'
+# Daemons that contend for a duty's lease while it has no holder.
+PLANNER_CANDIDATES: Final = 3
 ELECTORATE_STABLE_S: Final = 3.0
 ELECTORATE_DEAD_S: Final = 60.0
 CANDIDATE_DELAY_S: Final = 1.0
--- a/yuccavalve/peers/limit_news.py
+++ b/yuccavalve/peers/limit_news.py
@@ -97,7 +97,7 @@
     ]
     granted = grantor.grant(request.member, demands, now_s)
     if granted is None:
-        return peer_pb2.PermitsReply()
+        return peer_pb2.PermitsReply(planner=grantor.holder_address())
     known = grantor.table.known(demand.engine for demand in demands)
     return peer_pb2.PermitsReply(
         plans=True,
--- a/yuccavalve/ratelimit/__init__.py
+++ b/yuccavalve/ratelimit/__init__.py
@@ -9,6 +9,7 @@
     PermitDemand,
     PermitGrant,
     PermitGrants,
+    backend_id,
     parse_limit,
 )
 from yuccavalve.ratelimit.table import LimitTable
@@ -23,5 +24,6 @@
     'PermitGrantor',
     'PermitGrants',
     'RateLimiter',
+    'backend_id',
     'parse_limit',
 )
--- a/yuccavalve/ratelimit/grantor.py
+++ b/yuccavalve/ratelimit/grantor.py
@@ -67,12 +67,15 @@
     term
         Returns the term of the planner lease while this daemon holds it,
         None otherwise.
+    holder_address
+        Returns the peer address of the lease's holder; empty if not known.
     granted
         Permits granted since the start.
     """
 
     table: LimitTable
     term: Callable[[], int | None] = _no_term
+    holder_address: Callable[[], str] = str
     granted: int = 0
     _last_term: int | None = None
     _buckets: dict[int, _Bucket] = attrs.field(factory=dict)
--- a/yuccavalve/ratelimit/models.py
+++ b/yuccavalve/ratelimit/models.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from yuccavalve.hashing import hash32
+
 __all__ = (
     'EngineLimit',
     'LimitChange',
@@ -11,6 +13,7 @@
     'PermitDemand',
     'PermitGrant',
     'PermitGrants',
+    'backend_id',
     'parse_limit',
 )
 
@@ -24,6 +27,11 @@
     return float(stripped) if _DECIMAL.fullmatch(stripped) else None
 
 
+def backend_id(target: str, incarnation: int = 0) -> int:
+    """Return the 32-bit id of a replica's incarnation or of an address."""
+    return hash32(f'{target}/{incarnation}')
+
+
 @attrs.frozen
 class EngineLimit:
     """Requests a second that an engine takes from all daemons together.
--- a/yuccavalve/requests/dispatch.py
+++ b/yuccavalve/requests/dispatch.py
@@ -29,7 +29,9 @@
     RequestRefusedError,
 )
 from yuccavalve.load import ReplicaScores, RetryBudget, retry_after_s
+from yuccavalve.ratelimit import backend_id
 from yuccavalve.requests.const import CONTENT_JSON, MAX_ATTEMPTS
+from yuccavalve.requests.limits import LimitGuard
 from yuccavalve.requests.models import Exchange
 from yuccavalve.requests.picker import ReplicaPicker
 from yuccavalve.requests.quarantine import PromptGuard
@@ -38,7 +40,8 @@
 __all__ = ('Canceller', 'Dispatch', 'attempt_id')
 
 _OK = 200
-_REFUSAL_STATUSES = frozenset((409, 429, 503))
+_CONFLICT = 409
+_REFUSAL_STATUSES = frozenset((_CONFLICT, 429, 503))
 _REPEATABLE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 _MAX_REFUSAL_BYTES = 65536
 _REFUSAL_IDLE_S = 2.0
@@ -84,6 +87,7 @@
     random: Random
     first_byte_s: float
     guard: PromptGuard
+    limits: LimitGuard
 
     async def async_apply(self, exchange: Exchange) -> None:
         """Set the stream of the answer, or refuse the request."""
@@ -100,7 +104,7 @@
     ) -> bool:
         """Try one backend server; return whether it began to answer."""
         self._check_configuration(attempts)
-        self._select_target(exchange, attempts)
+        self._select_allowed_target(exchange, attempts)
         attempts.count += 1
         self.picker.begin(exchange.target)
         try:
@@ -120,6 +124,7 @@
         attempts: _Attempts,
     ) -> bool:
         exchange.attempt = attempts.count
+        asked_at_s = self.clock.now_s()
         try:
             stream = await self.client.async_open(self._backend_call(exchange))
         except BackendNotReachedError as error:
@@ -129,6 +134,7 @@
             self._record_lost(exchange, attempts, str(error))
             self.guard.record_lost(exchange)
             return False
+        self._record_limit(exchange, stream, asked_at_s)
         if stream.status in _REFUSAL_STATUSES and _is_model_request(exchange):
             await self._async_record_refusal(exchange, attempts, stream)
             return False
@@ -142,6 +148,21 @@
         exchange.answer_began = True
         return True
 
+    def _record_limit(
+        self, exchange: Exchange, stream: BackendStream, asked_at_s: float
+    ) -> None:
+        """Record the limit in an answer, unless it is another server's."""
+        if stream.status == _CONFLICT and _is_model_request(exchange):
+            return
+        is_own = not _is_model_request(exchange) or _is_expected(
+            exchange, stream
+        )
+        self.limits.record_answer(
+            backend_id(exchange.target, exchange.incarnation),
+            stream.headers,
+            asked_at_s if is_own else None,
+        )
+
     async def _async_record_refusal(
         self,
         exchange: Exchange,
@@ -179,6 +200,20 @@
             return
         self._refuse(attempts, ResultCode.CONFIGURATION_UNCONFIRMED)
 
+    def _select_allowed_target(
+        self, exchange: Exchange, attempts: _Attempts
+    ) -> None:
+        """Select a server within its limit, and take the permit for it."""
+        try:
+            self._select_target(exchange, attempts)
+        except RequestRefusedError as error:
+            if attempts.may_have_run:
+                self._refuse(attempts, error.code)
+            raise
+        exchange.permit = self.limits.take(
+            backend_id(exchange.target, exchange.incarnation)
+        )
+
     def _select_target(self, exchange: Exchange, attempts: _Attempts) -> None:
         if not _is_model_request(exchange):
             self._select_plain_target(exchange, attempts)
@@ -212,7 +247,19 @@
         if not usable:
             self._refuse(attempts, ResultCode.BACKEND_UNREACHABLE)
             return
-        chosen = min(healthy or usable, key=self.picker.in_flight)
+        by_id = {backend_id(name): name for name in healthy or usable}
+        in_flight = {
+            backend: self.picker.in_flight(name)
+            for backend, name in by_id.items()
+        }
+
+        def least_busy(backends: set[int]) -> int:  # noqa: WPS430
+            return min(
+                (each for each in by_id if each in backends),
+                key=in_flight.__getitem__,
+            )
+
+        chosen = by_id[self.limits.select(by_id, least_busy)]
         attempts.tried.add(chosen)
         exchange.target = chosen
         exchange.address = chosen
@@ -261,6 +308,10 @@
             headers=headers,
             body=exchange.body,
             first_byte_s=first_byte_s,
+            may_send=lambda: self.limits.may_send(
+                backend_id(exchange.target, exchange.incarnation),
+                exchange.permit,
+            ),
         )
 
 
--- a/yuccavalve/requests/models.py
+++ b/yuccavalve/requests/models.py
@@ -11,6 +11,7 @@
 from yuccavalve.configuration.models import Service, Workspace
 from yuccavalve.load.fairness import Ticket
 from yuccavalve.prompts import PromptParts
+from yuccavalve.ratelimit import Permit
 from yuccavalve.results import Outcome
 
 __all__ = ('Exchange', 'Filter', 'LedgerEntry', 'LedgerState')
@@ -81,6 +82,7 @@
     address: str = ''
     incarnation: int = 0
     attempt: int = 0
+    permit: Permit | None = None
     stream: BackendStream | None = None
     backend_status: int = 200
     content_type: str = ''
--- a/yuccavalve/requests/picker.py
+++ b/yuccavalve/requests/picker.py
@@ -18,7 +18,9 @@
 )
 from yuccavalve.load.const import DEMAND_TOTALS_MAX_AGE_S
 from yuccavalve.membership import Roster
+from yuccavalve.ratelimit import backend_id
 from yuccavalve.replicas import GrantTable, Replica, ReplicaTable
+from yuccavalve.requests.limits import LimitGuard
 
 __all__ = ('ReplicaPicker', 'SlotSource')
 
@@ -66,6 +68,7 @@
     clock: Clock
     random: Random
     max_in_flight: int
+    limits: LimitGuard
     router: Router = AffinityRouter()
     _in_flight: Counter[str] = attrs.field(factory=Counter)
     _cached_others: dict[str, _OtherDemands] = attrs.field(factory=dict)
@@ -116,7 +119,13 @@
         prefix_key: str,
         tried: set[str],
     ) -> Replica | None:
-        """Return an untried replica with a current grant, or None."""
+        """Return an untried replica with a current grant, or None.
+
+        Raises
+        ------
+        RequestRefusedError
+            If all of them are at the limits that they have named.
+        """
         now_s = self.clock.now_s()
         granted = [
             replica
@@ -128,13 +137,27 @@
             for replica in granted
             if not self.scores.is_suspended(replica.replica, now_s)
         ]
-        candidates = [
-            self._candidate(replica, now_s) for replica in healthy or granted
-        ]
-        if not candidates:
+        by_id = {
+            backend_id(replica.replica, replica.incarnation): replica
+            for replica in healthy or granted
+        }
+        if not by_id:
             return None
-        chosen = self.router.choose(candidates, prefix_key, self.random)
-        return self.table.get(chosen.replica)
+
+        def choose(backends: set[int]) -> int:  # noqa: WPS430
+            candidates = [
+                self._candidate(replica, now_s)
+                for backend, replica in by_id.items()
+                if backend in backends
+            ]
+            chosen = self.router.choose(candidates, prefix_key, self.random)
+            return next(
+                backend
+                for backend, replica in by_id.items()
+                if replica.replica == chosen.replica
+            )
+
+        return by_id[self.limits.select(by_id, choose)]
 
     def begin(self, replica: str) -> None:
         """Count a request sent to a replica."""
--- a/yuccavalve/requests/relay.py
+++ b/yuccavalve/requests/relay.py
@@ -19,6 +19,7 @@
     BackendNotReachedError,
     RequestRefusedError,
 )
+from yuccavalve.ratelimit import backend_id
 from yuccavalve.replicas import GrantTable
 from yuccavalve.requests.const import (
     CONTENT_EVENTS,
@@ -29,6 +30,7 @@
     SWEEP_PERIOD_S,
 )
 from yuccavalve.requests.dispatch import attempt_id
+from yuccavalve.requests.limits import LimitGuard
 from yuccavalve.requests.models import Exchange
 from yuccavalve.requests.pacing import Pacer
 from yuccavalve.requests.quarantine import PromptGuard
@@ -44,6 +46,8 @@
 _OK = 200
 _RESUME_PATH = '/v1/resume'
 _RESUME_FIRST_BYTE_S = 3.0
+# Longest wait for a permit; the caller of a broken stream waits meanwhile.
+_RESUME_PERMIT_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -132,6 +136,7 @@
 
     client: BackendClient
     grants: GrantTable
+    limits: LimitGuard
 
     async def async_resume(self, exchange: Exchange) -> BackendStream | None:
         """Return the answer from the next event on, or None.
@@ -142,15 +147,18 @@
             return None
         name = attempt_id(exchange)
         body = f'{{"request_id": "{name}", "offset": {exchange.events}}}'
-        call = BackendCall(
-            'POST',
-            exchange.address,
-            _RESUME_PATH,
-            {'content-type': CONTENT_JSON},
-            body.encode(),
-            _RESUME_FIRST_BYTE_S,
-        )
+        backend = backend_id(exchange.target, exchange.incarnation)
         try:
+            permit = await self.limits.async_take(backend, _RESUME_PERMIT_S)
+            call = BackendCall(
+                'POST',
+                exchange.address,
+                _RESUME_PATH,
+                {'content-type': CONTENT_JSON},
+                body.encode(),
+                _RESUME_FIRST_BYTE_S,
+                lambda: self.limits.may_send(backend, permit),
+            )
             stream = await self.client.async_open(call)
         except (BackendNotReachedError, BackendLostError) as error:
             logging.warning('resume failed: %s', error)
