--- a/tests/adapters/test_exchange.py
+++ b/tests/adapters/test_exchange.py
@@ -6,7 +6,11 @@
 import unittest
 
 from yuccavalve.adapters.exchange import HttpCall, async_exchange
-from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
+from yuccavalve.exceptions import (
+    BackendLostError,
+    BackendNotReachedError,
+    PermitExpiredError,
+)
 
 _SIZED = b'HTTP/1.1 200 OK\r\nx-a: 1\r\ncontent-length: 5\r\n\r\nhello'
 _CHUNKED = (
@@ -65,6 +69,17 @@
             finally:
                 answer.close()
 
+    async def test_request_whose_permit_ran_out_meanwhile_is_not_sent(
+        self,
+    ) -> None:
+        call = HttpCall(
+            self.address, 'POST', b'/', [], b'body', may_send=lambda: False
+        )
+        with self.assertRaises(PermitExpiredError):
+            await async_exchange(call)
+        await asyncio.sleep(0)
+        self.assertEqual(self.request_head, b'')
+
     async def test_whole_answers(self) -> None:
         for answer_bytes in (_SIZED, _CHUNKED, _UNFRAMED):
             self.answer_bytes = answer_bytes
--- a/tests/daemon/test_gateway_metrics.py
+++ b/tests/daemon/test_gateway_metrics.py
@@ -16,6 +16,10 @@
     'yuccavalve_daemons_alive 1.0',
     'yuccavalve_serves_as_hub 1.0',
     'yuccavalve_log_lines_left_out 3.0',
+    'yuccavalve_engines_limited 1.0',
+    'yuccavalve_engine_limit_per_s{engine="unlisted-00000007"} 1.5',
+    'yuccavalve_permits_held 0.0',
+    'yuccavalve_limits_passed_over 0.0',
     'yuccavalve_retries_left{service="portal"}',
     'yuccavalve_replicas_open{model="m-large",service="llm"} 0.0',
     'yuccavalve_repair_ms{quantile="0.5",service="llm"} 15',
@@ -33,6 +37,7 @@
         for _ in range(3):
             node.log_rate_limiter.count_dropped()
         node.gateway.metrics.record_ms('repair_ms', 'llm', 1500)
+        node.limiter.table.record_named(7, 1.5, node.clock.now_s())
         metrics_application(node)
         text = node.gateway.metrics.text().decode()
         for name in _EXPECTED:
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -55,6 +55,25 @@
         )
         self.assertEqual(timeline[0].fields['head'], 'i-1')
 
+    def test_refusal_includes_limits_named_long_before(self) -> None:
+        lines = (
+            _log_line(0.1, 'd1', 'engine_limit', engine='i-1', per_s=2),
+            _log_line(0.2, 'd2', 'engine_limit', engine='i-1', per_s=2),
+            _log_line(0.3, 'd1', 'engine_limit', engine='i-9', per_s=2),
+            _log_line(
+                50,
+                'd1',
+                'request_ended',
+                request='r3',
+                cause='no permit for any of 1 sound engines, limited: i-1',
+            ),
+        )
+        timeline = request_timeline(read_lines(lines), 'r3')
+        self.assertEqual(
+            [(line.event, line.process) for line in timeline],
+            [('engine_limit', 'd1'), ('request_ended', 'd1')],
+        )
+
     def test_refusal_includes_earlier_events_of_its_part(self) -> None:
         hit = QuarantineHit(0x123, 3, 1.0)
         # The log holds a name of digits alone as a number.
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -10,6 +10,7 @@
 from yuccavalve.prompts import part_ids
 from yuccavalve.routing import RequestKind
 from yuccavalve_platform.engines import decode_engine
+from yuccavalve_platform.notices import decode_notice
 from yuccavalve_platform.requests import PlatformDecoder
 from yuccavalve_platform.routes import decode_routes
 
@@ -40,6 +41,20 @@
     }
 
 
+class NoticeTest(unittest.TestCase):
+    """Decoding of what engines say of themselves."""
+
+    def test_limit_of_a_misdirected_answer_is_another_engine_s(self) -> None:
+        fields = {b'server-limit': b'1.5'}
+        self.assertEqual(decode_notice(200, fields).limit, '1.5')
+        self.assertEqual(decode_notice(503, fields).limit, '1.5')
+        self.assertIsNone(decode_notice(421, fields).limit)
+
+    def test_only_own_answers_tell_that_there_is_no_limit(self) -> None:
+        self.assertIsNone(decode_notice(200, {}).asked_at_s)
+        self.assertEqual(decode_notice(200, {}, 7).asked_at_s, 7)
+
+
 class EngineTest(unittest.TestCase):
     """Decoding of engine records."""
 
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from typing import Any
 
 from tests.platform import builders
 from tests.platform.standin import EngineStandin, FleetStandin
@@ -14,6 +15,7 @@
 )
 from tests.support.arrivals import allowed_in_window, most_in_window
 from yuccavalve.exceptions import BackendLostError
+from yuccavalve.fleet.activity import process_hash
 
 _DAEMONS = 3
 _REPLICAS = 3
@@ -24,6 +26,7 @@
 _MEASURED_S = 6.0
 # Part of a limit that must be used while there are enough requests.
 _USED_FRACTION = 0.4
+_TIMEOUT_S = 15.0
 _STREAM = {'model': builders.MODEL, 'token_counts': '100,80'}
 
 
@@ -131,3 +134,42 @@
         self.assertGreater(len(refused), len(self.answers) / 2)
         for headers in refused:
             self.assertGreater(float(headers[b'retry-after']), 0)
+
+    def _know_limit(self, name: str) -> list[bool]:
+        return [
+            each.node.limiter.table.per_s(
+                process_hash(each.node.view.engine(name))
+            )
+            is not None
+            for each in self.daemons
+        ]
+
+    async def _async_send_until(self, condition: Any, text: str) -> None:
+        """Send requests until a condition holds."""
+        sending = asyncio.create_task(
+            self._async_send_for(_TIMEOUT_S, 'GET', '/get/x')
+        )
+        try:
+            await async_until(condition, text)
+        finally:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+
+    async def test_all_daemons_learn_that_a_limit_begins_and_ends(
+        self,
+    ) -> None:
+        limited = self.fleet.engines['p-0']
+        limited.limit = str(_LIMIT_PER_S)
+        await self._async_send_until(
+            lambda: all(self._know_limit('p-0')), 'all know the limit'
+        )
+        limited.limit = ''
+        await self._async_send_until(
+            lambda: not any(self._know_limit('p-0')), 'all know its end'
+        )
+
+    async def test_unreadable_limit_does_not_stop_requests(self) -> None:
+        for engine in self.fleet.engines.values():
+            engine.limit = 'many'
+        await self._async_send_for(1, 'GET', '/get/x')
+        self.assertEqual({status for status, _ in self.answers}, {200})
--- a/tests/ratelimit/test_table.py
+++ b/tests/ratelimit/test_table.py
@@ -68,6 +68,14 @@
         self.table.record_unnamed(ENGINE, 101, 103)
         self.assertEqual(self.table.per_s(ENGINE), 2)
 
+    def test_unreadable_limit_is_reported_once_until_a_readable_one(
+        self,
+    ) -> None:
+        found = [self.table.record_unreadable(ENGINE, 99) for _ in range(3)]
+        self.table.record_named(ENGINE, 2, 100)
+        found.append(self.table.record_unreadable(ENGINE, 101))
+        self.assertEqual(found, [True, False, False, True])
+
     def test_changes_are_reported_once(self) -> None:
         for at_s in (100, 101):
             self.table.record_named(ENGINE, 2, at_s)
--- a/yuccavalve/fleet/notices.py
+++ b/yuccavalve/fleet/notices.py
@@ -62,12 +62,12 @@
         if per_s is not None:
             self.limits.record_named(process_hash(engine), per_s, now_s)
             return
-        self.limits.record_unreadable(process_hash(engine), now_s)
-        logging.info(
-            'event=engine_limit_unreadable engine=%s asked=%r',
-            engine.engine,
-            asked,
-        )
+        if self.limits.record_unreadable(process_hash(engine), now_s):
+            logging.info(
+                'event=engine_limit_unreadable engine=%s asked=%r',
+                engine.engine,
+                asked,
+            )
 
     def _back_off(self, engine: EngineRecord, asked: str) -> None:
         backoff = requested_backoff(asked, self.random)
--- a/yuccavalve/ratelimit/table.py
+++ b/yuccavalve/ratelimit/table.py
@@ -35,6 +35,7 @@
     on_change: Callable[[LimitChange], None] = _ignore_change
     _limits: dict[int, EngineLimit] = attrs.field(factory=dict)
     _changed_at_s: dict[int, float] = attrs.field(factory=dict)
+    _unreadable: set[int] = attrs.field(factory=set)
     _relayed: int = 0
 
     def per_s(self, engine: int) -> float | None:
@@ -57,16 +58,27 @@
 
     def record_named(self, engine: int, per_s: float, now_s: float) -> None:
         """Record a limit in an answer that was just received."""
+        self._unreadable.discard(engine)
         self.apply((EngineLimit(engine, per_s, now_s),), now_s)
 
-    def record_unreadable(self, engine: int, now_s: float) -> None:
+    def record_unreadable(self, engine: int, now_s: float) -> bool:
         """Record an answer with an unreadable limit.
 
         A limit in force stays so; without one the engine stays unlimited.
+
+        Returns
+        -------
+        bool
+            Whether the engine's last limit was readable.
         """
-        limit = self._limits.get(engine)
-        if limit is not None and limit.in_force:
-            self.record_named(engine, limit.per_s, now_s)
+        per_s = self.per_s(engine)
+        if per_s is not None:
+            self.apply((EngineLimit(engine, per_s, now_s),), now_s)
+        is_first = engine not in self._unreadable
+        if len(self._unreadable) >= MAX_LIMITS:
+            self._unreadable.clear()
+        self._unreadable.add(engine)
+        return is_first
 
     def record_unnamed(
         self, engine: int, sent_at_s: float, now_s: float
--- a/yuccavalve/requests/limits.py
+++ b/yuccavalve/requests/limits.py
@@ -114,15 +114,14 @@
                 table.record_unnamed(backend, asked_at_s, now_s)
             return
         per_s = parse_limit(asked)
-        if per_s is None:
-            table.record_unreadable(backend, now_s)
+        if per_s is not None:
+            table.record_named(backend, per_s, now_s)
+        elif table.record_unreadable(backend, now_s):
             logging.info(
                 'event=engine_limit_unreadable engine=%08x asked=%r',
                 backend,
                 asked,
             )
-            return
-        table.record_named(backend, per_s, now_s)
 
     def _refusal(self, backends: set[int]) -> RequestRefusedError:
         wait_s = self.limiter.retry_after_s(sorted(backends))
