Count only whole events as progress of a stream

Callers saw: a stream whose engine sent a byte now and then, but no event, was neither resumed nor ended before the route's timeout. Cause: each chunk counted as progress before the splitter had a whole event, so the engine never stalled. Now only whole events do, as in the product's own path.

--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -268,10 +268,10 @@
             chunk = await answer.async_read()
             if not chunk:
                 return
-            now_s = self.clock.now_s()
-            self.activity.record_progress(attempt.run, now_s)
             whole = splitter.split(chunk)
             if whole:
+                now_s = self.clock.now_s()
+                self.activity.record_progress(attempt.run, now_s)
                 routed.record_event(now_s)
                 routed.last_event = last_event_id(whole) or routed.last_event
                 await async_send_part(routed, whole)
