Tell others of leaving engines for as long as these are listed

A daemon that started more than 3 s after an engine had said that it leaves read from the store that the engine takes requests, and sent it one: others told of it for 3 s only, and only those that it had told itself. Now all that know of it tell it until the engine is no longer listed.

--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -12,6 +12,7 @@
     async_stop_all,
     async_until,
 )
+from yuccavalve.fleet.const import LEAVING_TELL_S
 
 _STREAM = {'model': builders.MODEL, 'token_counts': '100,80'}
 _BACKOFF_S = 1.0
@@ -63,6 +64,31 @@
                 f'{name} is draining for the other daemon',
             )
 
+    async def test_daemon_that_starts_later_does_not_use_a_leaving_engine(
+        self,
+    ) -> None:
+        leaving = self.fleet.engines['p-0']
+        leaving.says_leaving = True
+        for daemon in self.daemons:
+            caller = Caller(daemon.caller_address, builders.KEY)
+            while not daemon.node.view.engine('p-0').draining:
+                await caller.async_call('GET', '/get/x', 'told')
+        await asyncio.sleep(LEAVING_TELL_S + 1)
+        reached = len(leaving.received_headers)
+        started = DaemonRun(
+            builders.settings(self.fleet.store_address, name='front-3'), 3
+        )
+        self.daemons.append(started)
+        await started.async_start()
+        await async_until(
+            lambda: started.node.live_daemons() == 3, 'it knows the others'
+        )
+        caller = Caller(started.caller_address, builders.KEY)
+        for number in range(_REQUESTS):
+            await caller.async_call('GET', '/get/x', f'late-{number}')
+            await asyncio.sleep(0.1)
+        self.assertEqual(len(leaving.received_headers), reached)
+
 
 class NoticeTest(unittest.IsolatedAsyncioTestCase):
     """One daemon, four engines of one fabric domain, two plain servers."""
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -216,6 +216,7 @@
         for record in tuple(self.view.records()):
             is_leaving = engine_key_hash(engine_key(record)) in leaving
             if is_leaving and self.view.mark_leaving(record):
+                self.activity.record_leaving(record, self.clock.now_s())
                 logging.info(
                     'event=engine_draining engine=%s source=peer',
                     record.engine,
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -205,13 +205,13 @@
         """Record that an engine has told this daemon that it leaves."""
         self._leaving_at_s[engine_key(record)] = now_s
 
-    def leaving(self, now_s: float) -> frozenset[str]:
-        """Return the keys of leaving engines that others may not know of."""
-        return frozenset(
-            key
-            for key, at_s in self._leaving_at_s.items()
-            if now_s - at_s < LEAVING_TELL_S
-        )
+    def leaving(self) -> frozenset[str]:
+        """Return the keys of leaving engines that others may not know of.
+
+        These are told for as long as they are listed, since daemons that
+        start read from the store that such an engine takes requests.
+        """
+        return frozenset(self._leaving_at_s)
 
     def record_unreached(self, key: str, now_s: float) -> None:
         """Record a failed connection, and avoid the engine longer each time.
@@ -326,11 +326,10 @@
             idle = not activity.runs and now_s >= activity.suspect_until_s
             if idle and key not in keys:
                 self._engines.pop(key)
-        leaving = self.leaving(now_s)
         self._leaving_at_s = {
             each: at_s
             for each, at_s in self._leaving_at_s.items()
-            if each in leaving
+            if each in keys or now_s - at_s < LEAVING_TELL_S
         }
         self._backoff_until_s = {
             process: until_s
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -399,7 +399,7 @@
     def _local_loads(self) -> list[peer_pb2.EngineLoad]:
         strikes = self.activity.strikes(self.clock.now_s())
         loads = self.activity.local_loads()
-        leaving = self.activity.leaving(self.clock.now_s())
+        leaving = self.activity.leaving()
         return [
             peer_pb2.EngineLoad(
                 engine_key=engine_key_hash(key),
