Answer requests that were accepted last before a planned stop ends

Callers saw: at the end of a planned stop under load one request on a new connection was cut off without an answer, in each of six stops. Cause: the servers were aborted as soon as no request was running, so connections that had just been accepted, or waited to be, were reset; one whose transport didn't exist yet was left open without an answer until the process ended. Now the listening socket is closed first, without losing a connection that it has accepted or that waits; what arrives on these is answered, and only then connections are closed, aborted at 0.95 of the grace time at the latest.

--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -32,6 +32,7 @@
     STOP_ACCEPT_OTHERS_FRACTION,
     STOP_ACCEPT_STREAMS_FRACTION,
     STOP_CANCEL_FRACTION,
+    STOP_CLOSE_FRACTION,
 )
 from yuccavalve.observability.logs import LogRateLimiter
 from yuccavalve.peers import PeerServer, ShareServicer
@@ -45,6 +46,8 @@
 _PEER_KEY = ''
 _COLLECT_THRESHOLDS = (20000, 20, 100)
 _CANCEL_WAIT_S = 0.2
+# Least time for the answers to requests that were accepted last.
+_MIN_DRAIN_S = 0.3
 
 
 def run_gateway(
@@ -284,6 +287,13 @@
             )
             node.gateway.running.cancel_all()
             await asyncio.wait((idle,), timeout=_CANCEL_WAIT_S)
+        drain_s = max(
+            _MIN_DRAIN_S,
+            self._remaining_s(signalled_at_s, STOP_CLOSE_FRACTION),
+        )
+        await asyncio.gather(
+            *(server.async_drain(drain_s) for server in self._servers)
+        )
         logging.warning('event=stopped')
 
     def _remaining_s(self, signalled_at_s: float, fraction: float) -> float:
--- a/yuccavalve/gateway/const.py
+++ b/yuccavalve/gateway/const.py
@@ -33,6 +33,8 @@
 STARTUP_POLL_S: Final = 0.02
 # Fraction of the grace time after which requests in flight are cancelled.
 STOP_CANCEL_FRACTION: Final = 0.84
+# Fraction after which the last connections are aborted.
+STOP_CLOSE_FRACTION: Final = 0.95
 # Fraction of the retry budget that is used. The rest is a margin for retries
 # of other daemons that this daemon does not see.
 BUDGET_SAFETY_FACTOR: Final = 0.8
--- a/yuccavalve/serving.py
+++ b/yuccavalve/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import socket
 from collections.abc import Iterator
@@ -24,6 +25,10 @@
 _LINGER_S = 1.0
 _MAX_DISCARDED_BYTES = 8388608
 _KEEP_ALIVE_S = 30
+# Rounds of the event loop in which an accepted connection gets its transport.
+_ACCEPT_ROUNDS = 4
+# Time for requests on the connections that were accepted last.
+_STOP_LINGER_S = 0.15
 _START_POLL_S = 0.01
 _USER_TIMEOUT_MS = 60000
 _SEND_BUFFER_BYTES = 131072
@@ -199,11 +204,54 @@
             await self._task
         self._listener.close()
 
+    async def async_drain(self, timeout_s: float) -> None:
+        """Stop like ``async_stop``, but abort what is left after a time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.async_stop()
+        except TimeoutError:
+            await self.async_abort()
+
+    async def _async_stop_accepting(self) -> None:
+        """Close the listening socket without losing a connection.
+
+        The event loop drops a connection whose listening socket is closed
+        before its transport exists, and the system resets those that wait.
+        """
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener)
+        for _ in range(_ACCEPT_ROUNDS):
+            await asyncio.sleep(0)
+        waiting = _accept_waiting(self._listener)
+        for server in self._server.servers:
+            server.close()
+        new_protocol = functools.partial(
+            BoundedHeaderProtocol,
+            config=self._server.config,
+            server_state=self._server.server_state,
+            app_state={},
+        )
+        for connection in waiting:
+            await loop.connect_accepted_socket(new_protocol, connection)
+
     async def async_stop(self) -> None:
-        """Stop accepting, let responses finish, and close."""
+        """Stop accepting, answer what was accepted, and close."""
+        await self._async_stop_accepting()
+        await asyncio.sleep(_STOP_LINGER_S)
         self._server.request_exit()
         if self._task is not None:
-            await self._task
+            await asyncio.shield(self._task)
+
+
+def _accept_waiting(listener: socket.socket) -> list[socket.socket]:
+    """Accept the connections that wait at a listening socket."""
+    accepted: list[socket.socket] = []
+    with contextlib.suppress(BlockingIOError):
+        while len(accepted) < _BACKLOG:
+            connection, _ = listener.accept()
+            connection.setblocking(False)
+            accepted.append(connection)
+    return accepted
 
 
 def bind_socket(address: str) -> socket.socket:
