Look at the planner lease again before an order is sent

A planner that was frozen between its check of the lease and the moment at which the connection to the engine was made sent the order all the same: it acted on a lease that had run out. Epochs keep such orders from doing harm where a newer replica exists; now they aren't sent at all. Orders use the check that permits use. The product's own load orders carry an incarnation that is never used again and stay as they are.

--- a/tests/daemon/test_counted_control.py
+++ b/tests/daemon/test_counted_control.py
@@ -18,7 +18,9 @@
 
     answer: Any = None
 
-    async def async_order(self, engine: Any, order: Any) -> Any:
+    async def async_order(
+        self, engine: Any, order: Any, may_send: Any = None
+    ) -> Any:
         """Return the answer."""
         return self.answer
 
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -6,7 +6,12 @@
 
 from tests.support.byte_server import ByteServer
 from yuccavalve.fleet.notices import NoticeRelay
-from yuccavalve.ports.fleet import EngineRecord
+from yuccavalve.ports.fleet import (
+    EngineRecord,
+    GroupOrder,
+    GroupOrderKind,
+    OrderOutcome,
+)
 from yuccavalve_platform.client import JsonClient, UnansweredError
 from yuccavalve_platform.engines import EngineControl
 from yuccavalve_platform.store import EngineRows, StoreTable
@@ -54,6 +59,21 @@
             )
         self.assertTrue(raised.exception.sent)
 
+    async def test_order_of_a_planner_whose_lease_ran_out_is_not_sent(
+        self,
+    ) -> None:
+        engine = EngineRecord(
+            'i-1', 'llm', self.server.address, 'zone-a', draining=False
+        )
+        outcome = await EngineControl(self.client, NoticeRelay()).async_order(
+            engine,
+            GroupOrder(GroupOrderKind.STAGE, model='m', term=1),
+            may_send=lambda: False,
+        )
+        self.assertEqual(outcome, OrderOutcome.UNKNOWN)
+        await self.server.caller_closed.wait()
+        self.assertEqual(self.server.request_head, b'')
+
     async def test_endless_report_of_an_engine_is_closed_early(self) -> None:
         self.server.answer_bytes = _HEAD
         self.server.repeated_bytes = _SPACES
--- a/yuccavalve/adapters/backend.py
+++ b/yuccavalve/adapters/backend.py
@@ -8,14 +8,14 @@
 
 import asyncio
 import os
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Mapping
 from typing import Any, Protocol
 
 import attrs
 
 from yuccavalve.adapters.exchange import HttpAnswer, HttpCall, async_exchange
 from yuccavalve.exceptions import BackendLostError
-from yuccavalve.ports.backend import always
+from yuccavalve.ports.sending import MaySend, always
 
 __all__ = (
     'BackendCall',
@@ -49,7 +49,7 @@
     headers: Mapping[str, str]
     body: bytes
     first_byte_s: float
-    may_send: Callable[[], bool] = always
+    may_send: MaySend = always
 
 
 class PollSchedule(Protocol):
--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -20,7 +19,8 @@
     BackendNotReachedError,
     PermitExpiredError,
 )
-from yuccavalve.ports.backend import BodyFraming, HeaderFields, always
+from yuccavalve.ports.backend import BodyFraming, HeaderFields
+from yuccavalve.ports.sending import MaySend, always
 
 __all__ = ('HttpAnswer', 'HttpCall', 'async_exchange')
 
@@ -53,7 +53,7 @@
     headers: HeaderFields
     body: bytes = b''
     connect_timeout_s: float = 1
-    may_send: Callable[[], bool] = always
+    may_send: MaySend = always
 
     def encode(self) -> bytes:
         """Return the bytes of the request."""
--- a/yuccavalve/daemon/counted_control.py
+++ b/yuccavalve/daemon/counted_control.py
@@ -11,6 +11,7 @@
     GroupOrder,
     OrderOutcome,
 )
+from yuccavalve.ports.sending import MaySend, always
 from yuccavalve.ratelimit import PermitGrantor
 
 __all__ = ('CountedControl',)
@@ -25,11 +26,14 @@
     clock: Clock
 
     async def async_order(
-        self, engine: EngineRecord, order: GroupOrder
+        self,
+        engine: EngineRecord,
+        order: GroupOrder,
+        may_send: MaySend = always,
     ) -> OrderOutcome:
         """Send an order and return its outcome."""
         self._spend(engine)
-        return await self.control.async_order(engine, order)
+        return await self.control.async_order(engine, order, may_send)
 
     async def async_report(self, engine: EngineRecord) -> EngineReport | None:
         """Return the engine's report; None without a valid one in time."""
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -250,6 +250,7 @@
         outcome = await self._orders.async_order(
             task.engine,
             task.order,
+            self.lease.is_held,
         )
         now_s = self.node.clock.now_s()
         logging.info(
--- a/yuccavalve/ports/backend.py
+++ b/yuccavalve/ports/backend.py
@@ -1,12 +1,13 @@
 """Protocols for requests to backend servers and their answers."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import Protocol
 
 import attrs
 
 from yuccavalve.ports.fleet import EngineRecord
+from yuccavalve.ports.sending import MaySend, always
 
 __all__ = (
     'BackendAnswer',
@@ -14,17 +15,11 @@
     'BackendRequest',
     'BodyFraming',
     'HeaderFields',
-    'always',
 )
 
 HeaderFields = Sequence[tuple[bytes, bytes]]
 
 
-def always() -> bool:
-    """Return that a request may be sent."""
-    return True
-
-
 class BodyFraming(StrEnum):
     """How the end of an answer's body is marked (RFC 9112, section 6)."""
 
@@ -69,7 +64,7 @@
     deadline_s: float
     priority: int | None = None
     resume_after: str | None = None
-    may_send: Callable[[], bool] = always
+    may_send: MaySend = always
     created_at_s: float = 0
 
 
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from yuccavalve.ports.sending import MaySend, always
+
 __all__ = (
     'EngineChanges',
     'EngineFeed',
@@ -247,8 +249,13 @@
         self,
         engine: EngineRecord,
         order: GroupOrder,
+        may_send: MaySend = always,
     ) -> OrderOutcome:
-        """Send an order and return its outcome."""
+        """Send an order and return its outcome.
+
+        Nothing is sent unless ``may_send`` says so once the connection is
+        made.
+        """
 
     async def async_report(self, engine: EngineRecord) -> EngineReport | None:
         """Return the engine's report; None without a valid one in time."""
