Let a server name a limit throughout each soak

The faults of a seed stay as they are; from 3 s on the server's arrivals from all daemons are checked against the limit.

--- a/script/tools/soak/guarantees.py
+++ b/script/tools/soak/guarantees.py
@@ -5,7 +5,9 @@
 
 import attrs
 
-__all__ = ('RequestOutcome', 'find_violations')
+from tests.support.arrivals import allowed_in_window, most_in_window
+
+__all__ = ('RequestOutcome', 'find_limit_violations', 'find_violations')
 
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
@@ -71,6 +73,27 @@
     return broken
 
 
+def find_limit_violations(
+    engine: str, arrivals_s: Iterable[float], limit_per_s: float
+) -> list[str]:
+    """Return a message if an engine got more requests than its limit.
+
+    Parameters
+    ----------
+    engine
+        Name of the engine.
+    arrivals_s
+        Times of the requests since daemons have to know the limit.
+    limit_per_s
+        The limit that it named, in requests a second.
+    """
+    most = most_in_window(arrivals_s)
+    allowed = allowed_in_window(limit_per_s)
+    if most <= allowed:
+        return []
+    return [f'{engine}: {most} requests in a window, {allowed:.0f} allowed']
+
+
 def _violations(
     each: RequestOutcome, runs: Mapping[str, int], events: int
 ) -> list[str]:
--- a/script/tools/soak/runner.py
+++ b/script/tools/soak/runner.py
@@ -11,7 +11,11 @@
 from random import Random
 
 from script.tools.link import Link
-from script.tools.soak.guarantees import RequestOutcome, find_violations
+from script.tools.soak.guarantees import (
+    RequestOutcome,
+    find_limit_violations,
+    find_violations,
+)
 from script.tools.soak.schedule import Fault, FaultKind, schedule
 from tests.platform import builders
 from tests.platform.standin import EngineStandin, FleetStandin, Framing
@@ -29,6 +33,10 @@
 _MAX_BODY_BYTES = 1048576
 _GRACE_PERIOD_S = 4.0
 _REQUEST_KINDS = ('stream', 'repeatable', 'once')
+# Limits that one plain server names, and how long daemons may take to learn
+# them.
+_LIMITS_PER_S = (1, 2, 4)
+_LIMIT_KNOWN_S = 3.0
 _PATHS = {'stream': '/llm/x', 'repeatable': '/get/x', 'once': '/once/x'}
 
 
@@ -91,6 +99,8 @@
         self._version = 1
         self._ever_paused: set[int] = set()
         self._log_offsets: dict[int, int] = {}
+        self._limited: EngineStandin | None = None
+        self._limited_at_s = 0.0
 
     async def async_run(self) -> list[str]:
         """Run the schedule and return the violated guarantees."""
@@ -114,7 +124,7 @@
             self.seen,
             runs,
             runs.keys() - self._sent,
-            [*self.reported, *self.fleet.violations],
+            [*self.reported, *self.fleet.violations, *self._over_limit()],
             _EVENTS_PER_STREAM,
         )
 
@@ -187,6 +197,7 @@
 
     async def _async_run_schedule(self) -> None:
         began_s = time.monotonic()
+        self._name_limit(began_s)
         load = asyncio.create_task(self._async_load(began_s))
         for fault in schedule(self.seed, self.length_s):
             await asyncio.sleep(began_s + fault.at_s - time.monotonic())
@@ -194,6 +205,26 @@
         await load
         await asyncio.gather(*self._tasks)
 
+    def _name_limit(self, now_s: float) -> None:
+        """Let a plain server name a limit for as long as it runs."""
+        self._limited = self.fleet.engines[f'p-{self.seed % 2}']
+        limit_per_s = _LIMITS_PER_S[self.seed % len(_LIMITS_PER_S)]
+        self._limited.limit = str(limit_per_s)
+        self._limited_at_s = now_s
+
+    def _over_limit(self) -> list[str]:
+        if self._limited is None:
+            return []
+        known_at_s = self._limited_at_s + _LIMIT_KNOWN_S
+        arrivals_s = [
+            at_s for at_s in self._limited.arrivals_s if at_s >= known_at_s
+        ]
+        return find_limit_violations(
+            self._limited.options.engine,
+            arrivals_s,
+            float(self._limited.limit),
+        )
+
     def _spawn(self, work) -> None:  # type: ignore[no-untyped-def]
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -4,7 +4,11 @@
 
 import attrs
 
-from script.tools.soak.guarantees import RequestOutcome, find_violations
+from script.tools.soak.guarantees import (
+    RequestOutcome,
+    find_limit_violations,
+    find_violations,
+)
 
 _EVENTS = 3
 _STREAM = RequestOutcome(
@@ -71,3 +75,9 @@
     def test_violations_seen_by_engines(self) -> None:
         self.assertTrue(_check(_ONCE, unasked=['x']))
         self.assertTrue(_check(_ONCE, told=['two replicas']))
+
+    def test_engine_gets_more_than_its_limit(self) -> None:
+        # A limit of 1 a second allows 11 requests in any 4 s.
+        arrivals_s = [number * 0.3 for number in range(12)]
+        self.assertEqual(find_limit_violations('p', arrivals_s[1:], 1), [])
+        self.assertEqual(len(find_limit_violations('p', arrivals_s, 1)), 1)
