--- a/script/tools/run_tests.py
+++ b/script/tools/run_tests.py
@@ -1,6 +1,8 @@
 """Run the tests; count failures listed in ``KNOWN-RED.txt`` as skipped."""
 
+import asyncio
 import sys
+import threading
 import time
 import unittest
 from collections.abc import Iterator
@@ -9,6 +11,8 @@
 _ROOT = Path(__file__).resolve().parents[2]
 _KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
 _SLOW_S = 10.0
+# Time after which a test that has not ended prints where it waits.
+_STUCK_S = 300.0
 
 
 def known_red() -> dict[str, str]:
@@ -32,6 +36,17 @@
             yield entry
 
 
+def print_stacks(case: unittest.TestCase) -> None:
+    """Print the stacks of a test's tasks, to show where it waits."""
+    print(f'not ended after {_STUCK_S:.0f} s: {case.id()}', flush=True)
+    runner = getattr(case, '_asyncioRunner', None)
+    if runner is None:
+        return
+    for task in asyncio.all_tasks(runner.get_loop()):
+        task.print_stack(limit=6, file=sys.stdout)
+    sys.stdout.flush()
+
+
 def main() -> int:
     """Run the tests and print a summary line."""
     pattern = sys.argv[1] if len(sys.argv) > 1 else ''
@@ -43,7 +58,11 @@
     for case in tests:
         began_s = time.monotonic()
         result = unittest.TestResult()
+        watch = threading.Timer(_STUCK_S, print_stacks, (case,))
+        watch.daemon = True
+        watch.start()
         case.run(result)
+        watch.cancel()
         took_s = time.monotonic() - began_s
         if result.skipped:
             skipped += 1
