Log the fingerprint of the whole request with each failed attempt

The lines of the incident tell neither path, caller nor body of a lost attempt, so that they can't say whether different lost attempts are repeats of one request. Nothing decides by it yet.

--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -445,7 +445,8 @@
         routed.cause = outcome if error is None else f'{outcome}: {error}'
         logging.info(
             'event=attempt_failed request=%s engine=%s outcome=%s sent=%d '
-            'load=%d age_ms=%d framing=%s began_ms=%d parts=%s cause=%r',
+            'load=%d age_ms=%d framing=%s began_ms=%d parts=%s '
+            'fingerprint=%016x cause=%r',
             routed.inbound.request_id,
             attempt.engine.engine,
             outcome,
@@ -455,6 +456,7 @@
             '' if attempt.answer is None else attempt.answer.framing,
             _began_ms(attempt.run, self.clock.now_s()),
             parts_text(routed.inbound.prompt_parts),
+            routed.fingerprint,
             '' if error is None else str(error),
         )
 
--- a/yuccavalve/gateway/models.py
+++ b/yuccavalve/gateway/models.py
@@ -92,6 +92,8 @@
         Longest time between two relayed events.
     framing
         How the end of the last engine's answer is marked.
+    fingerprint
+        Id that only repeats of the request by its caller share.
     partial_event_bytes
         Size of an event that was incomplete when the last engine's answer
         ended.
@@ -106,6 +108,7 @@
     priority: int | None = None
     service: str = ''
     body: bytes = b''
+    fingerprint: int = 0
     deadline_at_s: float = 0
     tried: list[str] = attrs.field(factory=list)
     connect_attempts: int = 0
--- a/yuccavalve/gateway/server.py
+++ b/yuccavalve/gateway/server.py
@@ -10,6 +10,7 @@
 from yuccavalve.access import key_digest
 from yuccavalve.clock import Clock
 from yuccavalve.exceptions import RequestRefusedError
+from yuccavalve.fingerprints import request_fingerprint
 from yuccavalve.gateway.budget import ServiceRetryBudgets
 from yuccavalve.gateway.const import (
     MAX_DEADLINE_S,
@@ -186,6 +187,7 @@
             table.limits.max_body_bytes,
         )
         body_read.set()
+        routed.fingerprint = _fingerprint(routed)
         service = self._choose_service(table, route, routed)
         await self._dispatcher.async_run(routed, route, service)
 
@@ -333,6 +335,14 @@
         )
 
 
+def _fingerprint(routed: RoutedRequest) -> int:
+    inbound = routed.inbound
+    target = inbound.host.encode() + inbound.target
+    return request_fingerprint(
+        routed.workspace, inbound.method, target, routed.body
+    )
+
+
 async def _async_watch_disconnect(
     routed: RoutedRequest,
     task: asyncio.Task[None],
--- a/yuccavalve/requests/models.py
+++ b/yuccavalve/requests/models.py
@@ -76,6 +76,7 @@
     cost_tokens: int = 0
     prefix_key: str = ''
     prompt_parts: PromptParts = ()
+    fingerprint: int = 0
     ticket: Ticket | None = None
     ledger_entry: LedgerEntry | None = None
     target: str = ''
--- a/yuccavalve/requests/quarantine.py
+++ b/yuccavalve/requests/quarantine.py
@@ -1,10 +1,13 @@
 """Refuse requests whose prompts hold a part that crashes engines."""
 
 import attrs
+from absl import logging
 
 from yuccavalve.clock import Clock
 from yuccavalve.exceptions import RequestRefusedError
+from yuccavalve.fingerprints import request_fingerprint
 from yuccavalve.hashing import hash32
+from yuccavalve.prompts import parts_text
 from yuccavalve.quarantine import (
     PromptCrash,
     PromptQuarantine,
@@ -39,6 +42,14 @@
 
     def record_lost(self, exchange: Exchange) -> None:
         """Record that the answer was lost, if it had only just begun."""
+        logging.info(
+            'event=attempt_lost request=%s engine=%s parts=%s '
+            'fingerprint=%016x',
+            exchange.request_id,
+            exchange.target,
+            parts_text(exchange.prompt_parts),
+            exchange.fingerprint,
+        )
         now_s = self._now_s()
         began_at_s = exchange.first_byte_at_s
         if began_at_s and now_s - began_at_s > BEGIN_MAX_S:
@@ -68,6 +79,12 @@
 
     async def async_apply(self, exchange: Exchange) -> None:
         """Refuse the request if the quarantine says so."""
+        exchange.fingerprint = request_fingerprint(
+            exchange.workspace_name,
+            exchange.method,
+            f'{exchange.path}?{exchange.query}'.encode('latin-1'),
+            exchange.body,
+        )
         self.guard.admit(exchange)
 
 
