--- a/tests/platform/standin/__init__.py
+++ b/tests/platform/standin/__init__.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform: its store and its engines, in one process."""
 
 from tests.platform.standin.engines import (
+    CrashingRequest,
     EngineOptions,
     EngineStandin,
     Framing,
@@ -9,6 +10,7 @@
 from tests.platform.standin.store import StoreFaults, StoreStandin
 
 __all__ = (
+    'CrashingRequest',
     'EngineOptions',
     'EngineStandin',
     'FleetStandin',
--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -14,7 +14,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-__all__ = ('EngineOptions', 'EngineStandin', 'Framing')
+__all__ = ('CrashingRequest', 'EngineOptions', 'EngineStandin', 'Framing')
 
 _MS = 1000
 _OK = 200
@@ -147,6 +147,15 @@
     events: int = 8
 
 
+@attrs.frozen
+class CrashingRequest:
+    """A whole request that crashes each engine that begins to run it."""
+
+    workspace: str
+    target: str
+    body: bytes
+
+
 @attrs.define
 class _Group:
     name: str
@@ -199,6 +208,8 @@
     crashing_part
         Part of a prompt that crashes the engine once it has begun to
         answer; empty for none.
+    crashing_request
+        Whole request that crashes the engine; None for none.
     on_crash
         Called with the engine's name when it crashes.
     """
@@ -232,6 +243,7 @@
         self.ready_epochs: set[tuple[str, int]] = set()
         self.received_headers: list[Mapping[str, str]] = []
         self.crashing_part = ''
+        self.crashing_request: CrashingRequest | None = None
         self.on_crash: Callable[[str], None] = _ignore_crash
         self.group: _Group | None = None
         self.staged: list[str] = []
@@ -448,17 +460,27 @@
         if self.options.fabric_domain:
             last_event_id = int(request.headers.get('last-event-id', '0'))
             events = self._async_events(last_event_id)
-            if self._has_crashing_part(request):
+            if self._crashes(request, body):
                 events = self._async_crash(events)
             return self._respond(events, headers)
         await asyncio.sleep(self.options.token_s)
+        if self._crashes(request, body):
+            self.on_crash(self.options.engine)
+            await asyncio.Event().wait()
         if self.lose_answers:
             await asyncio.sleep(_LOST_ANSWER_S)
         if self.framing is Framing.CHUNKS:
             return Response(b'answer to ' + body, headers=headers)
         return self._respond(self._async_plain_parts(body), headers)
 
-    def _has_crashing_part(self, request: Request) -> bool:
+    def _crashes(self, request: Request, body: bytes) -> bool:
+        whole = CrashingRequest(
+            request.headers.get('tenant', ''),
+            str(request.url).removeprefix(str(request.base_url).rstrip('/')),
+            body,
+        )
+        if whole == self.crashing_request:
+            return True
         prefix = request.headers.get('prompt-prefix', '')
         names = [entry.partition(':')[0] for entry in prefix.split(',')]
         return bool(self.crashing_part) and self.crashing_part in names
--- a/tests/platform/standin/fleet.py
+++ b/tests/platform/standin/fleet.py
@@ -7,7 +7,11 @@
 import attrs
 
 from yuccavalve.serving import HttpServer, bind_socket
-from tests.platform.standin.engines import EngineOptions, EngineStandin
+from tests.platform.standin.engines import (
+    CrashingRequest,
+    EngineOptions,
+    EngineStandin,
+)
 from tests.platform.standin.store import StoreStandin
 
 __all__ = ('FleetStandin',)
@@ -43,6 +47,7 @@
         self.ready_epochs: set[tuple[str, int]] = set()
         self.crashed: list[str] = []
         self._crashing_part = ''
+        self._crashing_request: CrashingRequest | None = None
         self._restarts: set[asyncio.Task[None]] = set()
         self._heartbeat_s = heartbeat_s
         self._servers: dict[str, HttpServer] = {}
@@ -73,6 +78,7 @@
         engine.violations = self.violations
         engine.ready_epochs = self.ready_epochs
         engine.crashing_part = self._crashing_part
+        engine.crashing_request = self._crashing_request
         engine.on_crash = self._crash
         server = HttpServer(engine.application, bind_socket(_ANY_PORT_ADDRESS))
         await server.async_start()
@@ -93,6 +99,12 @@
         for engine in self.engines.values():
             engine.crashing_part = part
 
+    def set_crashing_request(self, crashing: CrashingRequest | None) -> None:
+        """Let a whole request crash all engines, also later ones."""
+        self._crashing_request = crashing
+        for engine in self.engines.values():
+            engine.crashing_request = crashing
+
     def _crash(self, name: str) -> None:
         restart = asyncio.create_task(self._async_restart(name))
         self._restarts.add(restart)
--- a/yuccavalve/standin/plain.py
+++ b/yuccavalve/standin/plain.py
@@ -1,6 +1,7 @@
 """Stand-in for a plain service that counts how often each call ran."""
 
 import asyncio
+import os
 from collections import Counter
 from typing import Any
 
@@ -11,6 +12,8 @@
 
 __all__ = ('PlainStandin',)
 
+_EXIT_CRASHED = 70
+
 
 class PlainStandin:
     """Echoes calls; an admin path returns the runs per idempotency key."""
@@ -20,6 +23,7 @@
         self._name = name
         self._runs: Counter[str] = Counter()
         self._delay_s: float = 0
+        self._crashing_body = ''
         self.application = Starlette(
             routes=[
                 Route('/admin/runs', self._async_runs, methods=['POST']),
@@ -40,6 +44,8 @@
         body = await request.body()
         self._runs[request.headers.get('idempotency-key', '')] += 1
         await asyncio.sleep(self._delay_s)
+        if self._crashing_body and body.decode() == self._crashing_body:
+            os._exit(_EXIT_CRASHED)
         return JSONResponse(
             {
                 'service': self._name,
@@ -56,4 +62,5 @@
     async def _async_faults(self, request: Request) -> Response:
         faults: dict[str, Any] = await request.json()
         self._delay_s = faults.get('delay_s', 0)
+        self._crashing_body = faults.get('crashing_body', '')
         return JSONResponse(faults)
