Tell the time that a run took, so that close crashes are kept apart

Crashes within 20 ms counted once, since servers that end together are not ended by a request. A retry whose server crashes at once was kept apart by moving its crash 40 ms after the one before; the next crash, at another daemon 25 ms later, was then merged with it: three servers counted as two. Seen in test_daemon_that_starts_later_does_not_send_the_request (three engines, two crashes at each daemon).

Crashes now carry how long the run took. Two of them count separately if one run began after the other's crash, whoever saw them.

--- a/tests/quarantine/test_whole_requests.py
+++ b/tests/quarantine/test_whole_requests.py
@@ -57,23 +57,22 @@
         self.assertTrue(self._is_refused(_BAD))
         self.assertFalse(self._is_refused(_OTHER))
 
-    def _crash_within_1_ms(self, sent_before_s: float) -> None:
+    def _crash_at_once(self, ran_s: float) -> None:
         for engine in range(MIN_CRASHES):
             self.table.record_crash(
-                RequestCrash(engine, (), _BAD, self.now_s - sent_before_s),
-                self.now_s,
+                RequestCrash(engine, (), _BAD, ran_s), self.now_s
             )
-            self.now_s += _SHORT_S
+            self.now_s += 2 * _SHORT_S
 
     def test_retries_of_a_run_that_crashes_at_once_all_count(self) -> None:
-        self._crash_within_1_ms(sent_before_s=0)
+        self._crash_at_once(ran_s=_SHORT_S)
         self._settle()
         self.assertTrue(self._is_refused(_BAD))
 
     def test_servers_that_end_together_under_repeats_count_as_one(
         self,
     ) -> None:
-        self._crash_within_1_ms(sent_before_s=1)
+        self._crash_at_once(ran_s=1)
         self._settle()
         self.assertFalse(self._is_refused(_BAD))
 
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -415,7 +415,7 @@
                 engine=hash32(process_key(attempt.run.key)),
                 parts=routed.inbound.prompt_parts,
                 fingerprint=routed.fingerprint,
-                sent_at_s=attempt.run.sent_at_s,
+                ran_s=now_s - attempt.run.sent_at_s,
             ),
             now_s,
         )
--- a/yuccavalve/quarantine/models.py
+++ b/yuccavalve/quarantine/models.py
@@ -43,14 +43,14 @@
         Parts of the request's prompt.
     fingerprint
         Id of the whole request, which its repeats share.
-    sent_at_s
-        Monotonic time at which the request was sent to the engine.
+    ran_s
+        Time from sending the request to the crash.
     """
 
     engine: int
     parts: PromptParts
     fingerprint: int
-    sent_at_s: float = _NEVER_S
+    ran_s: float = 0
 
     @property
     def suspects(self) -> tuple[int, ...]:
@@ -65,12 +65,28 @@
 
 @attrs.frozen
 class SuspectCrash:
-    """A crash under a request with a suspect, as daemons tell each other."""
+    """A crash under a request with a suspect, as daemons tell each other.
+
+    Attributes
+    ----------
+    ran_s
+        Time from sending the request to the crash.
+    """
 
     suspect: int
     engine: int
     request: int
     at_s: float
+    ran_s: float = 0
+
+    def is_separate(self, other: 'SuspectCrash', rules: EvidenceRules) -> bool:
+        """Return whether two engines did not end in the same event."""
+        if abs(self.at_s - other.at_s) >= CRASH_SPACING_S:
+            return True
+        if not rules.separates_runs:
+            return False
+        first, last = sorted((self, other), key=lambda crash: crash.at_s)
+        return last.at_s - last.ran_s >= first.at_s
 
 
 @attrs.frozen
@@ -141,7 +157,7 @@
     Attributes
     ----------
     engines
-        Monotonic times of the crashes by 32-bit id of the engine's start.
+        Crashes by 32-bit id of the engine's start.
     requests
         32-bit ids of the requests.
     crashes
@@ -156,13 +172,11 @@
         Monotonic time until which this daemon waits for its trial's end.
     answers_before
         Number of whole answers before the first crash.
-    learned_at_s
-        Monotonic time at which this daemon learned of the last crash.
     """
 
     first_at_s: float
     last_at_s: float
-    engines: dict[int, float] = attrs.field(factory=dict)
+    engines: dict[int, SuspectCrash] = attrs.field(factory=dict)
     requests: set[int] = attrs.field(factory=set)
     crashes: int = 0
     failed_trials: int = 0
@@ -170,19 +184,18 @@
     trial_delay_s: float = 0
     trial_until_s: float = _NEVER_S
     answers_before: int = 0
-    learned_at_s: float = _NEVER_S
 
-    def add(self, crash: SuspectCrash) -> bool:
+    def add(self, crash: SuspectCrash, rules: EvidenceRules) -> bool:
         """Add a crash; return whether it counts."""
         if crash.engine in self.engines:
             return False
         counts = all(
-            abs(crash.at_s - at_s) >= CRASH_SPACING_S
-            for at_s in self.engines.values()
+            crash.is_separate(other, rules) for other in self.engines.values()
         )
         if len(self.engines) >= MAX_ENGINES_PER_SUSPECT:
-            self.engines.pop(min(self.engines, key=self.engines.__getitem__))
-        self.engines[crash.engine] = crash.at_s
+            oldest = min(self.engines.values(), key=lambda each: each.at_s)
+            self.engines.pop(oldest.engine)
+        self.engines[crash.engine] = crash
         if len(self.requests) < MAX_ENGINES_PER_SUSPECT:
             self.requests.add(crash.request)
         self.failed_trials += self.is_held and crash.at_s >= self.until_s
--- a/yuccavalve/quarantine/quarantine.py
+++ b/yuccavalve/quarantine/quarantine.py
@@ -132,10 +132,10 @@
             if self._table(suspect).held((suspect,), now_s)
         ]
         for suspect in held or suspects:
-            table = self._table(suspect)
-            at_s = table.crash_time_s(suspect, crash.sent_at_s, now_s)
-            table.add_crash(
-                SuspectCrash(suspect, crash.engine, crash.request, at_s),
+            self._table(suspect).add_crash(
+                SuspectCrash(
+                    suspect, crash.engine, crash.request, now_s, crash.ran_s
+                ),
                 now_s,
             )
 
--- a/yuccavalve/quarantine/rules.py
+++ b/yuccavalve/quarantine/rules.py
@@ -30,9 +30,9 @@
         For how long after a whole answer crashes do not count.
     sound_memory_s
         How long whole answers are remembered.
-    spaces_retries
-        Whether a crash counts by itself, however close, if its run was sent
-        after the crash before.
+    separates_runs
+        Whether close crashes each count if one run began after the other's
+        crash.
     sound_renewal_s
         By how much a whole answer has to be newer than the known one to
         count.
@@ -46,7 +46,7 @@
     vouched_s: float
     sound_memory_s: float
     sound_renewal_s: float
-    spaces_retries: bool
+    separates_runs: bool
     max_records: int
     max_sound: int
 
@@ -60,7 +60,7 @@
     vouched_s=const.SOUND_S,
     sound_memory_s=math.inf,
     sound_renewal_s=const.SOUND_RENEWAL_S,
-    spaces_retries=False,
+    separates_runs=False,
     max_records=const.MAX_RECORDS,
     max_sound=const.MAX_SOUND_PARTS,
 )
@@ -75,7 +75,7 @@
     vouched_s=0,
     sound_memory_s=const.REQUEST_SOUND_MEMORY_S,
     sound_renewal_s=const.REQUEST_SOUND_RENEWAL_S,
-    spaces_retries=True,
+    separates_runs=True,
     max_records=const.MAX_REQUEST_RECORDS,
     max_sound=const.MAX_SOUND_REQUESTS,
 )
--- a/yuccavalve/quarantine/table.py
+++ b/yuccavalve/quarantine/table.py
@@ -8,7 +8,6 @@
 from absl import logging
 
 from yuccavalve.quarantine.const import (
-    CRASH_SPACING_S,
     EXPIRE_PERIOD_S,
     LEARN_MARGIN_S,
     MAX_HOLDS_SENT,
@@ -133,17 +132,6 @@
         sound_at_s = self._sound_at_s.get(suspect, _NEVER_S)
         return at_s - sound_at_s < self.rules.vouched_s
 
-    def crash_time_s(
-        self, suspect: int, sent_at_s: float, now_s: float
-    ) -> float:
-        """Return the time at which a crash seen now counts."""
-        record = self._records.get(suspect)
-        if record is None or not self.rules.spaces_retries:
-            return now_s
-        if sent_at_s < record.learned_at_s:
-            return now_s
-        return max(now_s, record.last_at_s + 2 * CRASH_SPACING_S)
-
     def add_crash(self, crash: SuspectCrash, now_s: float) -> None:
         """Add a crash of which this daemon did not know."""
         record = self._records.get(crash.suspect)
@@ -155,10 +143,9 @@
             self._records[crash.suspect] = record
         if crash.engine in record.engines:
             return
-        record.learned_at_s = now_s
         self._new_crashes[crash] = now_s
         _drop_oldest(self._new_crashes)
-        if not record.add(crash):
+        if not record.add(crash, self.rules):
             return
         self.crashes_recorded += 1
         if record.is_held:
--- a/yuccavalve/requests/quarantine.py
+++ b/yuccavalve/requests/quarantine.py
@@ -79,7 +79,7 @@
                 engine=hash32(self._start(exchange, now_s)),
                 parts=exchange.prompt_parts,
                 fingerprint=exchange.fingerprint,
-                sent_at_s=exchange.sent_at_s,
+                ran_s=now_s - exchange.sent_at_s,
             ),
             now_s,
         )
