Apply what other daemons tell of leaving engines when it is read

Leaving engines that other daemons told of were marked at the next check for stalls, which is left out while the event loop is late; runs in quarantine were cancelled there too. A busy daemon could use such an engine for as long as it was late. Now the marks are set with each update that is applied and each change of the engine list, and runs are cancelled also in a late check.

--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -169,9 +169,10 @@
         """Check for stalled engines until cancelled."""
         while True:
             delay_s = await self._async_wait_for_check()
+            now_s = self.node.clock.now_s()
+            self._cancel_quarantined(now_s)
             if delay_s >= STALL_MAX_DELAY_S:
                 continue
-            now_s = self.node.clock.now_s()
             for key, runs in self.node.activity.find_stalled(now_s):
                 moved = [run for run in runs if run.can_retry_elsewhere()]
                 logging.warning(
@@ -184,8 +185,6 @@
                     run.stalled = True
                     run.cancel()
             self._report_strikes(now_s)
-            self._cancel_quarantined(now_s)
-            self.node.mark_remote_leaving()
 
     async def _async_wait_for_check(self) -> float:
         """Wait until the next check; return how much the loop was delayed."""
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -139,6 +139,7 @@
     planning: asyncio.Event = attrs.field(factory=asyncio.Event)
     loop_delay: LoopDelay = attrs.field(factory=LoopDelay)
     _idle_forgotten_at_s: float = _ALWAYS_STALE_S
+    _marked_leaving: frozenset[int] = frozenset()
 
     def record_planning(self, plans: bool) -> None:
         """Record whether this daemon plans the replicas from now on."""
@@ -201,6 +202,7 @@
 
     def handle_engine_update(self) -> None:
         """Refresh dependent state after an update of the engines."""
+        self._mark_leaving(self.activity.remote_leaving)
         self.update_informed()
         now_s = self.clock.now_s()
         if now_s - self._idle_forgotten_at_s >= FORGET_IDLE_S:
@@ -211,6 +213,11 @@
     def mark_remote_leaving(self) -> None:
         """Mark the engines that have told other daemons that they leave."""
         leaving = self.activity.remote_leaving
+        if leaving != self._marked_leaving:
+            self._mark_leaving(leaving)
+
+    def _mark_leaving(self, leaving: frozenset[int]) -> None:
+        self._marked_leaving = leaving
         if not leaving:
             return
         for record in tuple(self.view.records()):
--- a/yuccavalve/daemon/gateway_peers.py
+++ b/yuccavalve/daemon/gateway_peers.py
@@ -143,6 +143,7 @@
         if node.share_state.apply_message(reply, sent_at_s):
             node.urgent_update.set()
         self._apply_view(reply, sent_at_s)
+        node.mark_remote_leaving()
 
     def _asks_for_engines(self, member: Member) -> bool:
         """Return whether to request a daemon's view of the engines.
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -200,6 +200,7 @@
             node.share_state,
             node.view,
             node.urgent_update.set,
+            node.mark_remote_leaving,
             node.grantor,
         )
         self._peer_server = PeerServer(servicer, _PEER_KEY)
--- a/yuccavalve/peers/share_server.py
+++ b/yuccavalve/peers/share_server.py
@@ -23,16 +23,18 @@
         share_state: ShareState,
         view: FleetView,
         on_urgent: Callable[[], None],
+        on_update: Callable[[], None],
         grantor: PermitGrantor,
     ) -> None:
         """Initialize the servicer.
 
         ``on_urgent`` is called after an update that other daemons have to
-        receive without delay.
+        receive without delay, ``on_update`` after each update.
         """
         self._share_state = share_state
         self._view = view
         self._on_urgent = on_urgent
+        self._on_update = on_update
         self._grantor = grantor
         self._packed_version = 0
         self._packed = b''
@@ -42,6 +44,7 @@
         now_s = self._share_state.clock.now_s()
         if self._share_state.apply_message(request, now_s):
             self._on_urgent()
+        self._on_update()
         reply = self._share_state.reply(request)
         confirmed_age_s = now_s - self._share_state.routing.confirmed_at_s
         if math.isfinite(confirmed_age_s):
