Take requests only once a daemon that starts has heard what others know

A daemon was ready as soon as it had routes and engines. What others knew of leaving engines, limits and suspects in quarantine came with the first exchange, up to 0.4 s later, so that a daemon that had just started sent requests to an engine that leaves, and a request that crashes servers.

Now it is ready once one daemon that takes requests has told what it knows and no newer routes are known; at once if it is the first or reaches no other; at the latest after 1 s, with a log line that says what it lacks. The first exchange no longer waits for its period. Requests that come meanwhile wait, as they did for routes and engines; none is refused for it.

--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -12,6 +12,7 @@
 from yuccavalve.clock import BootClock, Clock
 from yuccavalve.daemon.entry_directory import EntryDirectory
 from yuccavalve.daemon.loop_delay import LoopDelay
+from yuccavalve.daemon.startup import StartupKnowledge
 from yuccavalve.fleet.activity import (
     Activity,
     engine_key,
@@ -115,6 +116,8 @@
         Grants these permits while this daemon plans.
     member_rows_read
         Whether the rows of all daemons were read since the start.
+    startup
+        What this daemon has learned since its start.
     """
 
     settings: GatewaySettings
@@ -133,6 +136,7 @@
     limiter: RateLimiter
     grantor: PermitGrantor
     member_rows_read: bool = False
+    startup: StartupKnowledge = attrs.field(factory=StartupKnowledge)
     log_rate_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
     urgent_update: asyncio.Event = attrs.field(factory=asyncio.Event)
     engines_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -268,9 +272,31 @@
         self.gateway.budgets.update_settings(_budget_settings(bounds))
 
     def update_informed(self) -> None:
-        """Mark this daemon as informed once it has routes and engines."""
-        known = self.routing.table is not None and self.view.version > 0
-        self.share_state.informed = self.share_state.informed or known
+        """Mark this daemon as informed once it may take requests."""
+        share_state = self.share_state
+        if share_state.informed:
+            return
+        newest_version, _ = share_state.newest_routing()
+        has_base = (
+            self.routing.table is not None
+            and self.view.version > 0
+            and self.routing.version >= newest_version
+        )
+        share_state.informed = self.startup.update(
+            self._other_daemons(), has_base=has_base, now_s=self.clock.now_s()
+        )
+
+    def record_quarantine_read(self) -> None:
+        """Record that the row of the quarantine was read."""
+        self.startup.quarantine_read = True
+        self.update_informed()
+
+    def _other_daemons(self) -> set[str] | None:
+        """Return the ids of other daemons; None before they were read."""
+        if not self.member_rows_read:
+            return None
+        members = {each.member for each in self.roster.members()}
+        return members - {self.roster.local_member.member}
 
     def adopt_routes(self, document: bytes, source: str) -> bool:
         """Decode a version of the routes and adopt it if it is newer."""
@@ -322,6 +348,7 @@
         limits=dispatcher.selector.limiter.table,
     )
     gateway = Gateway(ports.decoder, routing, dispatcher, clock, random)
+    gateway.is_informed = lambda: share_state.informed
     node = GatewayNode(
         settings=settings,
         ports=ports,
--- a/yuccavalve/daemon/gateway_peers.py
+++ b/yuccavalve/daemon/gateway_peers.py
@@ -79,6 +79,7 @@
                 if self._is_exchange_due(other):
                     self._start_exchange(other, follows=False)
         node.share_state.expire()
+        node.update_informed()
         await self._async_fetch_routes()
         await node.peers.async_close_idle()
 
@@ -136,6 +137,8 @@
             )
         except PeerUnreachableError as error:
             node.hubs.record_failure(member.member, sent_at_s)
+            node.startup.record_failure(member.member)
+            node.update_informed()
             self._dependency(member.name).record_error(error)
             return
         node.hubs.record_answer(member.member)
@@ -144,6 +147,8 @@
             node.urgent_update.set()
         self._apply_view(reply, sent_at_s)
         node.mark_remote_leaving()
+        node.startup.record_reply(informed=not reply.sender.uninformed)
+        node.update_informed()
 
     def _asks_for_engines(self, member: Member) -> bool:
         """Return whether to request a daemon's view of the engines.
@@ -244,7 +249,9 @@
         rows = await table.async_scan(MEMBER_PREFIX)
         members = [Member(**row.fields) for row in rows]
         self.node.roster.learn_all(members)
-        self.node.member_rows_read = True
+        if not self.node.member_rows_read:
+            self.node.member_rows_read = True
+            self.node.urgent_update.set()
         self.node.roster.forget_except(
             (member.member for member in members),
             self.node.clock.now_s(),
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -178,6 +178,7 @@
             node.clock,
             node.random,
             self._lease_loop.is_held,
+            node.record_quarantine_read,
         )
 
     def _permit_loop(self) -> PermitLoop:
--- a/yuccavalve/daemon/quarantine_loop.py
+++ b/yuccavalve/daemon/quarantine_loop.py
@@ -25,6 +25,10 @@
 _HEX = 16
 
 
+def _do_nothing() -> None:
+    """Do nothing; nobody waits for the row."""
+
+
 @attrs.define
 class QuarantineLoop:
     """Reads the row at the start; writes it while this daemon plans.
@@ -33,6 +37,8 @@
     ----------
     plans
         Returns whether this daemon is the planner.
+    on_read
+        Called after the row was read.
     """
 
     quarantine: RequestQuarantine
@@ -40,6 +46,7 @@
     clock: Clock
     random: Random
     plans: Callable[[], bool]
+    on_read: Callable[[], None] = _do_nothing
     _is_read: bool = False
     _was_planner: bool = False
     _written: dict[int, int] = attrs.field(factory=dict)
@@ -64,6 +71,7 @@
         self._was_planner = plans
         if not self._is_read:
             await self._async_read()
+            self.on_read()
         if plans:
             await self._async_write()
 
--- /dev/null
+++ b/yuccavalve/daemon/startup.py
@@ -0,0 +1,83 @@
+"""Decide when a daemon that starts knows enough to take requests."""
+
+from collections.abc import Collection
+from typing import Final
+
+import attrs
+from absl import logging
+
+__all__ = ('READY_MAX_WAIT_S', 'StartupKnowledge')
+
+# How long a daemon with routes and engines waits for what others know.
+READY_MAX_WAIT_S: Final = 1.0
+_MS = 1000
+
+
+@attrs.define
+class StartupKnowledge:
+    """What a daemon has learned since its start.
+
+    Attributes
+    ----------
+    has_heard
+        Whether a daemon that takes requests has told what it knows.
+    quarantine_read
+        Whether the row of the quarantine was read.
+    is_complete
+        Whether the daemon may take requests.
+    """
+
+    has_heard: bool = False
+    quarantine_read: bool = False
+    is_complete: bool = False
+    _failed: set[str] = attrs.field(factory=set)
+    _waits_since_s: float | None = None
+
+    def record_reply(self, *, informed: bool) -> None:
+        """Record what another daemon has told."""
+        self.has_heard = self.has_heard or informed
+
+    def record_failure(self, member: str) -> None:
+        """Record a daemon that was not reached."""
+        if not self.is_complete:
+            self._failed.add(member)
+
+    def update(
+        self, others: Collection[str] | None, *, has_base: bool, now_s: float
+    ) -> bool:
+        """Return whether the daemon may take requests.
+
+        Parameters
+        ----------
+        others
+            Ids of the other daemons; None before their rows were read.
+        has_base
+            Whether routes and engines are known, and no daemon has told of
+            newer routes.
+        """
+        if self.is_complete or not has_base:
+            return self.is_complete
+        if self._waits_since_s is None:
+            self._waits_since_s = now_s
+        self.is_complete = self.has_heard or self._is_alone(others)
+        waited_s = now_s - self._waits_since_s
+        if not self.is_complete and waited_s >= READY_MAX_WAIT_S:
+            self.is_complete = True
+            logging.warning(
+                'event=ready_uninformed waited_ms=%d lacks=%s',
+                waited_s * _MS,
+                self._lacks(others),
+            )
+        return self.is_complete
+
+    def _is_alone(self, others: Collection[str] | None) -> bool:
+        if others is None or not self.quarantine_read:
+            return False
+        return self._failed.issuperset(others)
+
+    def _lacks(self, others: Collection[str] | None) -> str:
+        if others is None:
+            return 'members'
+        if not self._failed.issuperset(others):
+            return 'peer_news'
+        return 'quarantine_row'
--- a/yuccavalve/gateway/server.py
+++ b/yuccavalve/gateway/server.py
@@ -1,6 +1,7 @@
 """Serve callers' requests: find the route, dispatch, send the answer."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -72,6 +73,8 @@
     ----------
     has_received_request
         Whether a request that could be decoded has arrived.
+    is_informed
+        Returns whether what other daemons know has been heard.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self.stop = GatewayStop()
         self.metrics = Metrics()
         self.has_received_request = False
+        self.is_informed: Callable[[], bool] = _is_informed
         self._started_at_s = clock.now_s()
         self._decoder = decoder
         self._routing = routing
@@ -205,7 +209,8 @@
 
     def _is_ready(self) -> bool:
         engines_read = self._dispatcher.selector.view.version > 0
-        return self._routing.table is not None and engines_read
+        has_base = self._routing.table is not None and engines_read
+        return has_base and self.is_informed()
 
     def _check_stopping(self, route: Route) -> None:
         streams = route.kind is RequestKind.STREAM
@@ -335,6 +340,11 @@
         )
 
 
+def _is_informed() -> bool:
+    """Return True, for a gateway without other daemons."""
+    return True
+
+
 def _fingerprint(routed: RoutedRequest) -> int:
     inbound = routed.inbound
     target = inbound.host.encode() + inbound.target
