Let callers of the tests really leave, and bound the waits for runs

Traced: it is neither the daemon nor the engine. The caller's task was cancelled, but the client library hands the connection of a cancelled call back to its pool without closing it, or swallows the cancellation when the head of the answer arrives at the same moment, so that nobody had left.

The test now aborts its own connection once the run has begun, which is as strict and closer to what a caller does. Waits for runs fail after 30 s and print what was seen.

--- a/tests/sessions/test_kills.py
+++ b/tests/sessions/test_kills.py
@@ -74,8 +74,7 @@
         task = asyncio.create_task(
             self.async_ask('e0', 'k', _LONG_TOKENS, headers=at_most_once('k')),
         )
-        while not await self.async_runs():
-            await asyncio.sleep(0.02)
+        await self.async_until_runs(bool, 'the request runs')
         await self.async_set_table(down=True)
         self.assertTrue((await task).complete)
         self.cluster.processes['e0'].kill()
--- a/tests/sessions/test_requests.py
+++ b/tests/sessions/test_requests.py
@@ -13,6 +13,33 @@
 class StreamTest(SessionTest):
     """Streams that break, stall or lose their caller."""
 
+    def _host_and_port(self) -> tuple[str, int]:
+        host, port = self.address('e0').split(':')
+        return host, int(port)
+
+    async def _async_open(
+        self, sock: socket.socket, prompt: str, tokens: int
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Request a completion over a connection that the test controls.
+
+        The client library keeps the connection of a cancelled call open.
+        """
+        body = json.dumps(
+            {
+                'model': MODEL,
+                'messages': [{'role': 'user', 'content': prompt}],
+                'max_tokens': tokens,
+                'stream': True,
+            },
+        ).encode()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        writer.write(
+            b'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
+            b'authorization: Bearer north-key\r\n'
+            b'content-length: %d\r\n\r\n%b' % (len(body), body),
+        )
+        return reader, writer
+
     async def test_broken_streams_resume(self) -> None:
         await self.async_start()
         for fault in ('cut_after', 'silent_after'):
@@ -65,15 +92,14 @@
 
     async def test_caller_that_leaves_frees_the_engine(self) -> None:
         await self.async_start()
-        task = asyncio.create_task(self.async_ask('e0', 'leaves', 2000))
-        while not await self.async_runs():
-            await asyncio.sleep(0.05)
+        sock = socket.create_connection(self._host_and_port())
+        _, writer = await self._async_open(sock, 'leaves', 2000)
+        await self.async_until_runs(bool, 'the request runs')
+        writer.transport.abort()
         other_request = asyncio.create_task(self.async_ask('e0', 'stays', 100))
-        task.cancel()
-        runs = await self.async_runs()
-        while not runs[0]['cancelled']:
-            await asyncio.sleep(0.05)
-            runs = await self.async_runs()
+        runs = await self.async_until_runs(
+            lambda seen: seen[0]['cancelled'], 'its run is cancelled'
+        )
         self.assertLess(runs[0]['events'], 2000)
         self.assertTrue((await other_request).complete)
 
@@ -83,24 +109,10 @@
             options=options,
             engine_options=('--token-s', '0.0001'),
         )
-        host, port = self.address('e0').split(':')
-        body = json.dumps(
-            {
-                'model': MODEL,
-                'messages': [{'role': 'user', 'content': 'x' * 60000}],
-                'max_tokens': 200000,
-                'stream': True,
-            },
-        ).encode()
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.connect((host, int(port)))
-        reader, writer = await asyncio.open_connection(sock=sock)
-        writer.write(
-            b'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
-            b'authorization: Bearer north-key\r\n'
-            b'content-length: %d\r\n\r\n%b' % (len(body), body),
-        )
+        sock.connect(self._host_and_port())
+        reader, writer = await self._async_open(sock, 'x' * 60000, 200000)
         await reader.readexactly(100)
         reader._transport.pause_reading()  # noqa: SLF001
         runs = await self.async_runs()
@@ -152,8 +164,7 @@
         task = asyncio.create_task(
             self.async_ask('e0', 'killed', 300, headers=at_most_once('k')),
         )
-        while not await self.async_runs():
-            await asyncio.sleep(0.05)
+        await self.async_until_runs(bool, 'the request runs')
         self.cluster.processes['e0'].kill()
         await task
 
--- a/tests/support/session.py
+++ b/tests/support/session.py
@@ -172,6 +172,23 @@
         self.assertEqual(answer.code, code)
         return answer
 
+    async def async_until_runs(
+        self,
+        condition: Callable[[list[dict[str, Any]]], bool],
+        description: str,
+        timeout_s: float = 30,
+    ) -> list[dict[str, Any]]:
+        """Wait until an engine's runs meet a condition; return them."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + timeout_s
+        runs = await self.async_runs()
+        while not condition(runs):
+            if loop.time() > until_s:
+                self.fail(f'not within {timeout_s} s: {description}: {runs}')
+            await asyncio.sleep(0.02)
+            runs = await self.async_runs()
+        return runs
+
     async def async_runs(self, host: str = 'h0') -> list[dict[str, Any]]:
         """Return the requests that an engine has run."""
         return await self.cluster.async_call_admin(host, '/admin/runs', {})
