Don't wait for the news of daemons that start too

Daemons that are known to be uninformed, also from the digests of cells, no longer count among those whose news is waited for.

test_daemons_that_start_together_do_not_wait_for_the_bound failed without this change and passes.

--- a/tests/daemon/test_startup.py
+++ b/tests/daemon/test_startup.py
@@ -47,7 +47,13 @@
         self.startup.record_failure('e2')
         self.assertTrue(self._is_ready())
 
-    def test_daemons_that_start_together_wait_no_longer_than_the_bound(
+    def test_daemon_whose_others_all_start_too_is_ready_at_once(self) -> None:
+        self.startup.quarantine_read = True
+        self.startup.record_reply(informed=False)
+        self.assertFalse(self._is_ready(('e1',)))
+        self.assertTrue(self._is_ready(()))
+
+    def test_news_that_do_not_come_delay_the_start_no_longer_than_the_bound(
         self,
     ) -> None:
         self.startup.quarantine_read = True
--- a/tests/platform/test_peer_news.py
+++ b/tests/platform/test_peer_news.py
@@ -126,3 +126,29 @@
 async def _async_late_check() -> float:
     await asyncio.sleep(0.05)
     return _LATE_S
+
+
+class StartTogetherTest(unittest.IsolatedAsyncioTestCase):
+    """Three daemons that start at the same time."""
+
+    async def test_daemons_that_start_together_do_not_wait_for_the_bound(
+        self,
+    ) -> None:
+        fleet = FleetStandin()
+        await fleet.async_start(builders.engine_options(count=2))
+        await fleet.async_configure(builders.configuration())
+        daemons = [
+            DaemonRun(
+                builders.settings(fleet.store_address, name=f'front-{seed}'),
+                seed,
+            )
+            for seed in range(3)
+        ]
+        try:
+            with self.assertLogs('absl', 'WARNING') as logs:
+                await asyncio.gather(
+                    *(daemon.async_start() for daemon in daemons)
+                )
+        finally:
+            await async_stop_all(fleet, *daemons)
+        self.assertNotIn('ready_uninformed', ' '.join(logs.output))
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -283,7 +283,9 @@
             and self.routing.version >= newest_version
         )
         share_state.informed = self.startup.update(
-            self._other_daemons(), has_base=has_base, now_s=self.clock.now_s()
+            self._informed_daemons(),
+            has_base=has_base,
+            now_s=self.clock.now_s(),
         )
 
     def record_quarantine_read(self) -> None:
@@ -291,12 +293,15 @@
         self.startup.quarantine_read = True
         self.update_informed()
 
-    def _other_daemons(self) -> set[str] | None:
-        """Return the ids of other daemons; None before they were read."""
+    def _informed_daemons(self) -> set[str] | None:
+        """Return the other daemons that may be informed.
+
+        None before their rows were read.
+        """
         if not self.member_rows_read:
             return None
         members = {each.member for each in self.roster.members()}
-        return members - {self.roster.local_member.member}
+        return members - self.share_state.uninformed()
 
     def adopt_routes(self, document: bytes, source: str) -> bool:
         """Decode a version of the routes and adopt it if it is newer."""
--- a/yuccavalve/daemon/startup.py
+++ b/yuccavalve/daemon/startup.py
@@ -50,7 +50,8 @@
         Parameters
         ----------
         others
-            Ids of the other daemons; None before their rows were read.
+            Ids of the other daemons that may know more, which are those that
+            do not start too; None before their rows were read.
         has_base
             Whether routes and engines are known, and no daemon has told of
             newer routes.
