--- a/tests/peers/test_quarantine_news.py
+++ b/tests/peers/test_quarantine_news.py
@@ -6,6 +6,7 @@
 from tests.quarantine.builders import BAD, crash
 from tests.support import builders
 from tests.support.share_model import ShareModel
+from yuccavalve.quarantine import RequestCrash
 from yuccavalve.quarantine.const import MAX_HOLDS_SENT, MIN_CRASHES
 
 _DAEMONS = 88
@@ -73,3 +74,25 @@
         self.model.clock.advance(1)
         after = self.model.daemons[0].share_state.build_message().ByteSize()
         self.assertLess(after - before, _MAX_PART_BYTES * MAX_HOLDS_SENT * 2)
+
+
+class WholeRequestSpreadTest(unittest.TestCase):
+    """Daemons of different cells see one crash each, and nothing else."""
+
+    def test_all_daemons_refuse_the_whole_request_in_time(self) -> None:
+        model = ShareModel.of(_DAEMONS)
+        model.run(3)
+        suspect = builders_of_prompts.fingerprint(1)
+        for number in range(MIN_CRASHES):
+            share_state = model.daemons[-1 - number].share_state
+            share_state.quarantine.record_crash(
+                RequestCrash(number, (), suspect), model.clock.now_s()
+            )
+            model.run(0.1)
+        model.run(_STABLE_S)
+        now_s = model.clock.now_s()
+        refusing = sum(
+            each.share_state.quarantine.find((suspect,), now_s) is not None
+            for each in model.live()
+        )
+        self.assertEqual(refusing, _DAEMONS)
--- a/tests/sessions/test_crashing_requests.py
+++ b/tests/sessions/test_crashing_requests.py
@@ -79,6 +79,18 @@
             self.assertEqual(answer.status, _NOT_RUN_STATUS)
             self.assertEqual(answer.code, ResultCode.REQUEST_QUARANTINED)
 
+    async def test_daemon_that_starts_later_does_not_send_the_request(
+        self,
+    ) -> None:
+        await self._async_check_held('PUT')
+        before = self._crashed()
+        await self.async_start_daemon('late', None)
+        answer = await self.caller.async_call(
+            self.address('late'), 'PUT', _PATH, _CRASHING
+        )
+        self.assertEqual(answer.code, ResultCode.REQUEST_QUARANTINED)
+        self.assertEqual(self._crashed(), before)
+
     async def test_repeated_put_does_not_crash_server_after_server(
         self,
     ) -> None:
