Read rows and configurations with fields of another type without ending

A configuration with a field of another type (a list for an object, a number for a host) raised AttributeError in the loop that reads the routes, a member row of another form TypeError in the loop that reads the daemons; an ended loop ends the daemon, and each daemon reads the same rows again when it starts. Numbers over 64 bits in the row of the quarantine made the daemon's messages unencodable.

--- a/tests/daemon/test_quarantine_loop.py
+++ b/tests/daemon/test_quarantine_loop.py
@@ -6,9 +6,11 @@
 from tests.quarantine import builders
 from tests.quarantine.builders import BAD, crash
 from tests.support.fakes import FakeTable
+from tests.support.odd_documents import odd_documents
 from yuccavalve.clock import ManualClock
 from yuccavalve.daemon.quarantine_loop import QuarantineLoop
 from yuccavalve.exceptions import StoreUnavailableError
+from yuccavalve.peers.quarantine_news import encode_quarantine
 from yuccavalve.ports import Transaction, Write
 from yuccavalve.quarantine import RequestQuarantine
 from yuccavalve.quarantine.const import MIN_CRASHES, SETTLE_S
@@ -86,3 +88,14 @@
         self.table.down = False
         await loop.async_run_once()
         self.assertEqual(started.held_count, 1)
+
+    async def test_row_with_odd_fields_leaves_messages_readable(self) -> None:
+        await self._loop(self.planner, plans=True).async_run_once()
+        rows = await self.table.async_read([_KEY])
+        fields = dict(rows[_KEY].fields)
+        for odd in odd_documents(fields):
+            write = Write(_KEY, odd)
+            await self.table.async_transact(Transaction((), (write,)))
+            started = builders.quarantine()
+            await self._loop(started, plans=False).async_run_once()
+            encode_quarantine(started, self.clock.now_s())
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -5,7 +5,8 @@
 from tests.support.builders import member
 from tests.support.fakes import FakeTable
 from yuccavalve.membership import MemberRegistry
-from yuccavalve.membership.const import MEMBERS_REMOVED_KEY
+from yuccavalve.membership.const import MEMBER_PREFIX, MEMBERS_REMOVED_KEY
+from yuccavalve.ports import Transaction, Write
 
 _EXPIRY_S = 60
 
@@ -48,3 +49,9 @@
         first = self.table.rows[MEMBERS_REMOVED_KEY].version
         await self.registry.async_remove('e2-boot')
         self.assertGreater(self.table.rows[MEMBERS_REMOVED_KEY].version, first)
+
+    async def test_row_of_another_form_hides_no_other_member(self) -> None:
+        for odd in ({}, {'member': 'e2', 'added_later': 1}):
+            write = Write(f'{MEMBER_PREFIX}e2', odd)
+            await self.table.async_transact(Transaction((), (write,)))
+            self.assertEqual(await self.registry.async_list(), [self.member])
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -1,9 +1,11 @@
 """Decoding of engine records, routes and request headers."""
 
+import contextlib
 import json
 import unittest
 
 from tests.platform import builders
+from tests.support.odd_documents import odd_documents
 from yuccavalve.access import key_digest
 from yuccavalve.exceptions import RequestRefusedError
 from yuccavalve.ports.fleet import Membership, MemberState
@@ -41,6 +43,25 @@
     }
 
 
+class OddDocumentTest(unittest.TestCase):
+    """Documents and rows with a field of another type."""
+
+    def test_odd_configuration_raises_only_errors_that_readers_expect(
+        self,
+    ) -> None:
+        for document in odd_documents(builders.configuration()):
+            encoded = json.dumps(document).encode()
+            with contextlib.suppress(KeyError, TypeError, ValueError):
+                decode_routes(encoded)
+
+    def test_odd_engine_record_raises_only_errors_that_readers_expect(
+        self,
+    ) -> None:
+        for entry in odd_documents(_ENTRY):
+            with contextlib.suppress(KeyError, TypeError, ValueError):
+                decode_engine('i-1', entry)
+
+
 class NoticeTest(unittest.TestCase):
     """Decoding of what engines say of themselves."""
 
--- a/yuccavalve/daemon/gateway_peers.py
+++ b/yuccavalve/daemon/gateway_peers.py
@@ -9,7 +9,7 @@
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.exceptions import StoreUnavailableError
 from yuccavalve.fleet.const import SHARE_URGENT_DELAY_S
-from yuccavalve.membership import Member
+from yuccavalve.membership import Member, decode_members
 from yuccavalve.membership.const import MEMBER_PREFIX
 from yuccavalve.peers import PeerUnreachableError
 from yuccavalve.peers.const import SHARE_TIMEOUT_S
@@ -247,7 +247,7 @@
             await table.async_transact(Transaction((), (write,)))
             self.registered = True
         rows = await table.async_scan(MEMBER_PREFIX)
-        members = [Member(**row.fields) for row in rows]
+        members = decode_members(rows)
         self.node.roster.learn_all(members)
         if not self.node.member_rows_read:
             self.node.member_rows_read = True
--- a/yuccavalve/daemon/quarantine_loop.py
+++ b/yuccavalve/daemon/quarantine_loop.py
@@ -23,6 +23,8 @@
 _KEY = 'prompts/quarantine'
 _PERIOD_S = 1.0
 _HEX = 16
+_MAX_SUSPECT = 0xFFFFFFFFFFFFFFFF
+_MAX_COUNT = 0xFFFF
 
 
 def _do_nothing() -> None:
@@ -114,10 +116,17 @@
     """Return the holds of a row; their ages count from when it was written."""
     return [
         SuspectHold(
-            int(entry['suspect'], _HEX),
-            int(entry['crashes']),
+            _bounded(int(entry['suspect'], _HEX), _MAX_SUSPECT),
+            _bounded(int(entry['crashes']), _MAX_COUNT),
             now_s - max(0, float(entry['age_s'])),
-            int(entry['failed_trials']),
+            _bounded(int(entry['failed_trials']), _MAX_COUNT),
         )
         for entry in row.fields['holds']
     ]
+
+
+def _bounded(number: int, highest: int) -> int:
+    """Return a number that daemons can pass on, or raise ``ValueError``."""
+    if not 0 <= number <= highest:
+        raise ValueError(f'{number}: expected 0 to {highest}')
+    return number
--- a/yuccavalve/membership/__init__.py
+++ b/yuccavalve/membership/__init__.py
@@ -4,7 +4,7 @@
 from yuccavalve.membership.hubs import HubRanking
 from yuccavalve.membership.lease import Lease, LeaseStep
 from yuccavalve.membership.models import Member
-from yuccavalve.membership.registry import MemberRegistry
+from yuccavalve.membership.registry import MemberRegistry, decode_members
 from yuccavalve.membership.roster import Roster
 from yuccavalve.membership.view import PeerView
 
@@ -17,4 +17,5 @@
     'PeerView',
     'Roster',
     'contention_wait_s',
+    'decode_members',
 )
--- a/yuccavalve/membership/registry.py
+++ b/yuccavalve/membership/registry.py
@@ -3,13 +3,27 @@
 from collections.abc import Iterable
 
 import attrs
+from absl import logging
 
 from yuccavalve.exceptions import TransactionConflictError
 from yuccavalve.membership.const import MEMBER_PREFIX, MEMBERS_REMOVED_KEY
 from yuccavalve.membership.models import Member
-from yuccavalve.ports import Condition, TableStore, Transaction, Write
+from yuccavalve.ports import Condition, Row, TableStore, Transaction, Write
 
-__all__ = ('MemberRegistry',)
+__all__ = ('MemberRegistry', 'decode_members')
+
+
+def decode_members(rows: Iterable[Row]) -> list[Member]:
+    """Return the members in rows; rows of another form are left out."""
+    members = []
+    for row in rows:
+        try:
+            members.append(Member(**row.fields))
+        except TypeError as error:
+            logging.warning(
+                'event=member_unreadable key=%s cause=%r', row.key, str(error)
+            )
+    return members
 
 
 @attrs.define
@@ -35,7 +49,7 @@
     async def async_list(self) -> list[Member]:
         """Return the registered members."""
         rows = await self.table.async_scan(MEMBER_PREFIX)
-        return [Member(**row.fields) for row in rows]
+        return decode_members(rows)
 
     async def async_sweep(
         self,
