--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -5,6 +5,7 @@
 from yuccavalve.gateway.budget import RetryBudgetSettings, ServiceRetryBudgets
 
 _SETTINGS = RetryBudgetSettings(ratio=0.2, extra=40, window_s=10)
+_DAEMONS = 8
 
 
 class BudgetTest(unittest.TestCase):
@@ -30,3 +31,17 @@
         while budgets.withdraw('a', 0):
             continue
         self.assertTrue(budgets.withdraw('b', 0))
+
+    def test_sum_over_daemons_stays_within_ratio_and_extra(self) -> None:
+        daemons = [
+            ServiceRetryBudgets(_SETTINGS, lambda: _DAEMONS)
+            for _ in range(_DAEMONS)
+        ]
+        spent = 0
+        for number in range(400):
+            budgets = daemons[number % 3]
+            budgets.deposit('s', number / 80)
+        for budgets in daemons:
+            spent += sum(budgets.withdraw('s', 5) for _ in range(400))
+        self.assertLessEqual(spent, 400 * _SETTINGS.ratio + _SETTINGS.extra)
+        self.assertGreater(spent, 400 * _SETTINGS.ratio / 2)
--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -208,6 +208,8 @@
     crashing_part
         Part of a prompt that crashes the engine once it has begun to
         answer; empty for none.
+    crashes_on_join
+        Whether an order to join a group crashes the engine.
     crashing_request
         Whole request that crashes the engine; None for none.
     on_crash
@@ -244,6 +246,7 @@
         self.received_headers: list[Mapping[str, str]] = []
         self.crashing_part = ''
         self.crashing_request: CrashingRequest | None = None
+        self.crashes_on_join = False
         self.on_crash: Callable[[str], None] = _ignore_crash
         self.group: _Group | None = None
         self.staged: list[str] = []
@@ -369,6 +372,8 @@
         return _OK
 
     def _join(self, order: dict[str, Any]) -> int:
+        if self.crashes_on_join:
+            self.on_crash(self.options.engine)
         epoch = order['epoch']
         members = tuple(order['members'])
         group = self.group
--- a/tests/platform/standin/fleet.py
+++ b/tests/platform/standin/fleet.py
@@ -33,6 +33,8 @@
         Broken rules that the engines detected.
     ready_epochs
         Engines and epochs in which they were ready to serve.
+    crashes_on_join
+        Whether an order to join a group crashes engines that are added.
     crashed
         Names of the engines that crashed, in order.
     """
@@ -46,6 +48,7 @@
         self.violations: list[str] = []
         self.ready_epochs: set[tuple[str, int]] = set()
         self.crashed: list[str] = []
+        self.crashes_on_join = False
         self._crashing_part = ''
         self._crashing_request: CrashingRequest | None = None
         self._restarts: set[asyncio.Task[None]] = set()
@@ -79,6 +82,7 @@
         engine.ready_epochs = self.ready_epochs
         engine.crashing_part = self._crashing_part
         engine.crashing_request = self._crashing_request
+        engine.crashes_on_join = self.crashes_on_join
         engine.on_crash = self._crash
         server = HttpServer(engine.application, bind_socket(_ANY_PORT_ADDRESS))
         await server.async_start()
