--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -25,6 +25,7 @@
 _UNAVAILABLE = 503
 _WARM_JOIN_S = 0.02
 _LOST_ANSWER_S = 6.0
+_REPEAT_S = 0.1
 _POLL_S = 0.01
 _TRICKLE_INTERVAL_S = 0.05
 _NOT_RUN = {'Not-Executed': '1'}
@@ -78,6 +79,20 @@
         transport.close()
 
 
+class _RepeatedResponse(Response):
+    """An answer of which a second copy is sent late."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Write to the connection itself, and leave it open."""
+        transport = scope['standin.transport']
+        lines = [b'%b: %b' % field for field in self.raw_headers]
+        head = b'\r\n'.join((b'HTTP/1.1 200 OK', *lines, b'', b''))
+        transport.write(head + self.body)
+        await asyncio.sleep(_REPEAT_S)
+        transport.write(head + self.body)
+        await asyncio.sleep(_LOST_ANSWER_S)
+
+
 class _EngineApplication(Starlette):
     """Adds the engine's notices to the heads of all its answers.
 
@@ -188,6 +203,8 @@
         further event; -1 for never.
     framing
         How the end of answers to requests is marked.
+    repeats_answers
+        A plain service sends a late second copy of each answer.
     says_leaving
         Whether all answers say that the engine leaves.
     retry_after
@@ -233,6 +250,7 @@
         self.break_after_events = -1
         self.trickle_after_events = -1
         self.framing = Framing.CHUNKS
+        self.repeats_answers = False
         self.says_leaving = False
         self.limit = ''
         self.arrivals_s: list[float] = []
@@ -474,6 +492,8 @@
             await asyncio.Event().wait()
         if self.lose_answers:
             await asyncio.sleep(_LOST_ANSWER_S)
+        if self.repeats_answers:
+            return _RepeatedResponse(b'answer to ' + body, headers=headers)
         if self.framing is Framing.CHUNKS:
             return Response(b'answer to ' + body, headers=headers)
         return self._respond(self._async_plain_parts(body), headers)
