Bound the wait of a daemon that starts for newer routes

A daemon that had heard of a newer version of the routes which it can't get or read would never have become ready, since the bound of 1 s counted only the time with current routes. Found in reading the change.

--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -277,14 +277,11 @@
         if share_state.informed:
             return
         newest_version, _ = share_state.newest_routing()
-        has_base = (
-            self.routing.table is not None
-            and self.view.version > 0
-            and self.routing.version >= newest_version
-        )
+        has_routes = self.routing.table is not None
         share_state.informed = self.startup.update(
             self._informed_daemons(),
-            has_base=has_base,
+            has_base=has_routes and self.view.version > 0,
+            is_current=self.routing.version >= newest_version,
             now_s=self.clock.now_s(),
         )
 
--- a/yuccavalve/daemon/startup.py
+++ b/yuccavalve/daemon/startup.py
@@ -43,7 +43,12 @@
             self._failed.add(member)
 
     def update(
-        self, others: Collection[str] | None, *, has_base: bool, now_s: float
+        self,
+        others: Collection[str] | None,
+        *,
+        has_base: bool,
+        is_current: bool,
+        now_s: float,
     ) -> bool:
         """Return whether the daemon may take requests.
 
@@ -53,32 +58,32 @@
             Ids of the other daemons that may know more, which are those that
             do not start too; None before their rows were read.
         has_base
-            Whether routes and engines are known, and no daemon has told of
-            newer routes.
+            Whether routes and engines are known.
+        is_current
+            Whether no daemon has told of newer routes.
         """
         if self.is_complete or not has_base:
             return self.is_complete
         if self._waits_since_s is None:
             self._waits_since_s = now_s
-        self.is_complete = self.has_heard or self._is_alone(others)
+        lacks = self._lacks(others) if is_current else 'routes'
         waited_s = now_s - self._waits_since_s
-        if not self.is_complete and waited_s >= READY_MAX_WAIT_S:
-            self.is_complete = True
+        if lacks and waited_s >= READY_MAX_WAIT_S:
             logging.warning(
                 'event=ready_uninformed waited_ms=%d lacks=%s',
                 waited_s * _MS,
-                self._lacks(others),
+                lacks,
             )
+            lacks = ''
+        self.is_complete = not lacks
         return self.is_complete
 
-    def _is_alone(self, others: Collection[str] | None) -> bool:
-        if others is None or not self.quarantine_read:
-            return False
-        return self._failed.issuperset(others)
-
     def _lacks(self, others: Collection[str] | None) -> str:
+        """Return what else has to be heard; empty for nothing."""
+        if self.has_heard:
+            return ''
         if others is None:
             return 'members'
         if not self._failed.issuperset(others):
             return 'peer_news'
-        return 'quarantine_row'
+        return '' if self.quarantine_read else 'quarantine_row'
