Bound the doublings of a quarantine that another daemon tells of

The number of failed trials comes from messages and from a row. Two to the power of a large one is an OverflowError in each check, or memory without end. Found in reading the change; test_news_with_absurd_numbers_hold_no_longer_than_the_bound failed before with an OverflowError.

--- a/tests/quarantine/test_whole_requests.py
+++ b/tests/quarantine/test_whole_requests.py
@@ -5,11 +5,18 @@
 from tests.quarantine import builders
 from tests.quarantine.builders import SHARED, fingerprint
 from yuccavalve.fingerprints import request_fingerprint
-from yuccavalve.quarantine import RequestCrash, RequestQuarantine
+from yuccavalve.quarantine import (
+    QuarantineNews,
+    RequestCrash,
+    RequestQuarantine,
+    SuspectHold,
+)
 from yuccavalve.quarantine.const import (
+    MAX_QUARANTINE_S,
     MAX_RELAYED,
     MAX_REQUEST_RECORDS,
     MAX_SOUND_REQUESTS,
+    MAX_TRIAL_SPREAD_S,
     MIN_CRASHES,
     QUARANTINE_S,
     SETTLE_S,
@@ -22,6 +29,7 @@
 _BAD = fingerprint(1)
 _OTHER = fingerprint(2)
 _DAEMONS = 2
+_LARGEST = 0xFFFF
 
 
 class WholeRequestTest(unittest.TestCase):
@@ -196,6 +204,18 @@
         assert hit is not None
         self.assertGreaterEqual(hit.retry_after_s, 2 * QUARANTINE_S)
 
+    def test_news_with_absurd_numbers_hold_no_longer_than_the_bound(
+        self,
+    ) -> None:
+        absurd = SuspectHold(_OTHER, _LARGEST, self.now_s, _LARGEST)
+        late = builders.quarantine(_DAEMONS, _DAEMONS)
+        late.apply(QuarantineNews(holds=[absurd]), self.now_s)
+        hit = late.find((_OTHER,), self.now_s)
+        assert hit is not None
+        self.assertLess(
+            hit.retry_after_s, MAX_QUARANTINE_S + MAX_TRIAL_SPREAD_S
+        )
+
     def test_answer_to_a_trial_ends_the_hold_at_all_daemons(self) -> None:
         self._exchange()
         self.now_s += QUARANTINE_S
--- a/yuccavalve/quarantine/const.py
+++ b/yuccavalve/quarantine/const.py
@@ -21,6 +21,7 @@
 # First quarantine; it doubles with each trial that crashes an engine.
 QUARANTINE_S: Final = 15.0
 MAX_QUARANTINE_S: Final = 600.0
+MAX_DOUBLINGS: Final = 16
 # After the quarantine single requests are let through as trials. Each daemon
 # begins at a random time in a span that grows with the number of daemons, so
 # that the others hear of a crash before they try.
--- a/yuccavalve/quarantine/models.py
+++ b/yuccavalve/quarantine/models.py
@@ -7,6 +7,7 @@
 from yuccavalve.prompts import PromptParts
 from yuccavalve.quarantine.const import (
     CRASH_SPACING_S,
+    MAX_DOUBLINGS,
     MAX_ENGINES_PER_SUSPECT,
     MAX_QUARANTINE_S,
     MIN_CRASHES,
@@ -234,7 +235,8 @@
     @property
     def duration_s(self) -> float:
         """Return how long the quarantine lasts from the last crash."""
-        return min(MAX_QUARANTINE_S, QUARANTINE_S * 2**self.failed_trials)
+        doublings = min(self.failed_trials, MAX_DOUBLINGS)
+        return min(MAX_QUARANTINE_S, QUARANTINE_S * 2**doublings)
 
     @property
     def until_s(self) -> float:
