Count crashes that different daemons saw, however close they seem

The times that daemons tell are not exact to 20 ms while they are busy.

Crashes of whole requests now count once only where one daemon saw both, closer than 20 ms and with runs that overlapped. The time that a run took is no longer told to others. test_crashes_at_different_daemons_count_however_close failed before.

--- a/tests/quarantine/test_whole_requests.py
+++ b/tests/quarantine/test_whole_requests.py
@@ -190,6 +190,21 @@
         self._exchange()
         self.assertEqual(self._refusing(), [True, True])
 
+    def test_crashes_at_different_daemons_count_however_close(self) -> None:
+        tables = [builders.quarantine(seed, _DAEMONS) for seed in range(3)]
+        for engine, table in enumerate(tables):
+            table.record_crash(
+                RequestCrash(engine, (), _BAD, _STEP_S), self.now_s
+            )
+        news = [table.news(self.now_s) for table in tables]
+        for table in tables:
+            for each in news:
+                table.apply(each, self.now_s)
+        self.now_s += SETTLE_S
+        self.assertTrue(
+            all(table.find((_BAD,), self.now_s) for table in tables)
+        )
+
     def test_daemon_that_starts_later_refuses_and_knows_failed_trials(
         self,
     ) -> None:
--- a/yuccavalve/peers/quarantine_news.py
+++ b/yuccavalve/peers/quarantine_news.py
@@ -27,7 +27,6 @@
                 engine=crash.engine,
                 request=crash.request,
                 age_ms=age_ms(now_s - crash.at_s),
-                ran_ms=age_ms(crash.ran_s),
             )
             for crash in news.crashes
         ],
@@ -60,7 +59,6 @@
                 crash.engine,
                 crash.request,
                 sent_at_s - crash.age_ms / _MS,
-                crash.ran_ms / _MS,
             )
             for crash in message.crashes
         ],
--- a/yuccavalve/quarantine/models.py
+++ b/yuccavalve/quarantine/models.py
@@ -71,14 +71,15 @@
     Attributes
     ----------
     ran_s
-        Time from sending the request to the crash.
+        Time from sending the request to the crash; None for a crash that
+        another daemon saw, whose time is not exact.
     """
 
     suspect: int
     engine: int
     request: int
     at_s: float
-    ran_s: float = 0
+    ran_s: float | None = None
 
     def is_separate(self, other: 'SuspectCrash', rules: EvidenceRules) -> bool:
         """Return whether two engines did not end in the same event."""
@@ -86,8 +87,11 @@
             return True
         if not rules.separates_runs:
             return False
-        first, last = sorted((self, other), key=lambda crash: crash.at_s)
-        return last.at_s - last.ran_s >= first.at_s
+        if self.ran_s is None or other.ran_s is None:
+            return True
+        first_at_s = min(self.at_s, other.at_s)
+        last_began_s = max(self.at_s - self.ran_s, other.at_s - other.ran_s)
+        return last_began_s >= first_at_s
 
 
 @attrs.frozen
--- a/yuccavalve/quarantine/rules.py
+++ b/yuccavalve/quarantine/rules.py
@@ -31,8 +31,8 @@
     sound_memory_s
         How long whole answers are remembered.
     separates_runs
-        Whether close crashes each count if one run began after the other's
-        crash.
+        Whether close crashes each count unless one daemon saw both and their
+        runs overlapped. Otherwise close ones count once, whoever saw them.
     sound_renewal_s
         By how much a whole answer has to be newer than the known one to
         count.
--- a/yuccavalve/quarantine/table.py
+++ b/yuccavalve/quarantine/table.py
@@ -143,10 +143,10 @@
             self._records[crash.suspect] = record
         if crash.engine in record.engines:
             return
-        self._new_crashes[crash] = now_s
-        _drop_oldest(self._new_crashes)
         if not record.add(crash, self.rules):
             return
+        self._new_crashes[crash] = now_s
+        _drop_oldest(self._new_crashes)
         self.crashes_recorded += 1
         if record.is_held:
             self._draw_trial_delay(record)
@@ -208,7 +208,7 @@
         if self.is_vouched(crash.suspect, crash.at_s):
             self._pass_on_sound(crash.suspect, now_s)
             return
-        self.add_crash(crash, now_s)
+        self.add_crash(attrs.evolve(crash, ran_s=None), now_s)
 
     def apply_sound(self, sound: SuspectSound, now_s: float) -> None:
         """Apply a whole answer that another daemon tells of."""
