--- a/tests/daemon/test_settings_loop.py
+++ b/tests/daemon/test_settings_loop.py
@@ -19,6 +19,7 @@
     'listen.ready': '127.0.0.1:1002',
     'listen.directory': '127.0.0.1:1003',
     'internal_ports.0': '1004',
+    'internal_ports.1': '1005',
     'platform.address': '127.0.0.1:1006',
 }
 
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -1,6 +1,7 @@
 """Build documents, settings and engine options for the tests."""
 
 import json
+import re
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any
@@ -41,6 +42,8 @@
         'bounds.budget_window_s': '10',
     },
 )
+# An optional part of the template: its name, and its text.
+_SECTION = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _TEMPLATE = Path(__file__).parents[2] / 'deploy' / 'settings.toml'
 
 
@@ -164,7 +167,11 @@
     fields
         Values that differ from the defaults of a local daemon.
     """
-    text = _TEMPLATE.read_text()
-    for name, value in {**_DEFAULT_FIELDS, **fields}.items():
+    values = {**_DEFAULT_FIELDS, **fields}
+    text = _SECTION.sub(
+        lambda section: section[2] if section[1] in values else '',
+        _TEMPLATE.read_text(),
+    )
+    for name, value in values.items():
         text = text.replace('{{%s}}' % name, value)
     return text
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -127,6 +127,7 @@
                 'listen.ready': '127.0.0.1:1002',
                 'listen.directory': '127.0.0.1:1003',
                 'internal_ports.0': '1004',
+                'internal_ports.1': '1005',
                 'platform.address': '127.0.0.1:1006',
                 'bounds.retry_budget_extra': '132',
             },
--- a/yuccavalve/membership/models.py
+++ b/yuccavalve/membership/models.py
@@ -17,6 +17,9 @@
         Name of the daemon in its settings.
     processor_millicores
         Speed of its processor, in thousandths of a core.
+    relay_address
+        Where it takes requests of daemons that reach no engine; empty if it
+        takes none.
     """
 
     member: str
@@ -27,3 +30,4 @@
     peer_address: str
     leaving: bool = False
     processor_millicores: int = 1000
+    relay_address: str = ''
--- a/yuccavalve/peers/messages.py
+++ b/yuccavalve/peers/messages.py
@@ -40,6 +40,7 @@
         peer_address=head.peer_address,
         leaving=head.leaving,
         processor_millicores=head.processor_millicores,
+        relay_address=head.relay_address,
     )
 
 
--- a/yuccavalve/settings/__init__.py
+++ b/yuccavalve/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from yuccavalve.settings.gateway import (
     BoundSettings,
+    CapacitySettings,
     GatewayDaemonSettings,
     GatewaySettings,
     ListenSettings,
@@ -20,6 +21,7 @@
 __all__ = (
     'AccessSettings',
     'BoundSettings',
+    'CapacitySettings',
     'DaemonSettings',
     'GatewayDaemonSettings',
     'GatewaySettings',
--- a/yuccavalve/settings/gateway.py
+++ b/yuccavalve/settings/gateway.py
@@ -4,6 +4,7 @@
 
 __all__ = (
     'BoundSettings',
+    'CapacitySettings',
     'GatewayDaemonSettings',
     'GatewaySettings',
     'ListenSettings',
@@ -47,6 +48,8 @@
         Serves other daemons.
     metrics_address
         Serves metrics.
+    relay_address
+        Serves requests of daemons that reach no engine.
     """
 
     caller_address: str
@@ -54,6 +57,7 @@
     ready_address: str = ''
     directory_address: str = ''
     metrics_address: str = ''
+    relay_address: str = ''
 
 
 @attrs.frozen
@@ -78,6 +82,10 @@
         How long callers may cache an answer of the entry directory.
     retry_ratio, retry_extra, retry_window_s
         Retry budget shared by all daemons.
+    cold_overage, cold_slack
+        Bound on the requests that a cold engine gets in a second from all
+        daemons: its rate times the overage, plus the slack. Without an overage
+        cold engines are treated as warm ones.
     """
 
     drain_ms: int = 2000
@@ -86,6 +94,15 @@
     retry_ratio: float = 0.2
     retry_extra: float = 100
     retry_window_s: float = 10
+    cold_overage: float = 0
+    cold_slack: float = 0
+
+
+@attrs.frozen
+class CapacitySettings:
+    """Whether daemons learn what each backend server takes well."""
+
+    learn: bool = False
 
 
 @attrs.frozen
@@ -96,3 +113,4 @@
     listen: ListenSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
+    capacity: CapacitySettings = CapacitySettings()
