Start serving sooner after all daemons have lost power

If none listens to its peers, it listens for callers at once, so that they wait instead of being refused, and doesn't wait for news of the others. The metrics' text format is imported at the first scrape.

--- a/tests/daemon/test_startup.py
+++ b/tests/daemon/test_startup.py
@@ -88,3 +88,15 @@
         with self.assertLogs(level='WARNING') as logs:
             self.assertTrue(self._is_ready(None))
         self.assertIn('lacks=members', logs.output[0])
+
+    def test_daemon_alone_does_not_wait_for_news_of_daemons_that_are_down(
+        self,
+    ) -> None:
+        self.startup.quarantine_read = True
+        self.assertFalse(self._is_ready())
+        self.startup.others_are_down = True
+        self.assertTrue(self._is_ready())
+
+    def test_daemon_alone_still_reads_the_row_of_the_quarantine(self) -> None:
+        self.startup.others_are_down = True
+        self.assertFalse(self._is_ready())
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,13 +1,21 @@
-"""Signals that reach a daemon while it starts."""
+"""Signals that reach a daemon while it starts, and who else runs then."""
 
+import asyncio
 import os
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 import unittest
 from pathlib import Path
 
+from tests.platform import builders
+from tests.platform.standin import FleetStandin
+from tests.platform.support import DaemonRun, async_stop_all
+from yuccavalve.daemon.early_start import NOTHING_DONE, EarlyStart
+from yuccavalve_platform.early import start_before_imports
+
 _ROOT = Path(__file__).resolve().parents[2]
 _TIMEOUT_S = 30.0
 _POLL_S = 0.005
@@ -42,3 +50,47 @@
             time.sleep(_POLL_S)
         self.assertIsNone(process.poll(), 'SIGHUP was never ignored')
         self.assertEqual(process.wait(_TIMEOUT_S), 1)
+
+
+class NeighborTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon that starts while its only neighbor runs or is down."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        """Start the stand-in and the neighbor, which writes its row."""
+        self.fleet = FleetStandin()
+        await self.fleet.async_start(builders.engine_options())
+        await self.fleet.async_configure(builders.configuration())
+        self.neighbor = DaemonRun(builders.settings(self.fleet.store_address))
+        await self.neighbor.async_start()
+
+    async def asyncTearDown(self) -> None:  # noqa: N802
+        """Stop the stand-in and the neighbor."""
+        await async_stop_all(self.fleet, self.neighbor)
+
+    async def _async_start_other(self, store_address: str) -> EarlyStart:
+        """Return what a daemon with another name does before its imports."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'settings.toml'
+            path.write_text(
+                '[daemon]\nname = "front-2"\n'
+                '[listen]\ncaller_address = "127.0.0.1:0"\n'
+                f'[store]\naddress = "{store_address}"\n'
+            )
+            early_start = await asyncio.to_thread(start_before_imports, path)
+        if early_start.listener is not None:
+            self.addCleanup(early_start.listener.close)
+        return early_start
+
+    async def test_callers_wait_only_while_no_neighbor_runs(self) -> None:
+        store_address = self.fleet.store_address
+        early_start = await self._async_start_other(store_address)
+        self.assertIs(early_start, NOTHING_DONE)
+        await self.neighbor.async_kill()
+        early_start = await self._async_start_other(store_address)
+        self.assertTrue(early_start.others_are_down)
+        self.assertIsNotNone(early_start.listener)
+
+    async def test_neighbors_may_run_if_the_store_does_not_answer(self) -> None:
+        await self.neighbor.async_kill()
+        early_start = await self._async_start_other('127.0.0.1:1')
+        self.assertIs(early_start, NOTHING_DONE)
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+import socket
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -10,6 +11,7 @@
 import attrs
 from absl import logging
 
+from yuccavalve.daemon.early_start import NOTHING_DONE, EarlyStart
 from yuccavalve.daemon.formation_duty import FormationDuty
 from yuccavalve.daemon.gateway_loops import EngineLoop, RoutingLoop, StallLoop
 from yuccavalve.daemon.gateway_metrics import metrics_application
@@ -55,6 +57,7 @@
     ports: GatewayPorts,
     settings_file: Path | None = None,
     log_rate_limiter: LogRateLimiter | None = None,
+    early_start: EarlyStart = NOTHING_DONE,
 ) -> int:
     """Run a gateway daemon until it is signalled; return the exit status.
 
@@ -68,10 +71,14 @@
         File from which changed settings are reloaded.
     log_rate_limiter
         Counts the log lines that were left out.
+    early_start
+        What was done before the imports.
     """
     node = build_gateway_node(settings, ports, Random())
     node.log_rate_limiter = log_rate_limiter or node.log_rate_limiter
-    return asyncio.run(GatewayDaemon(node, settings_file).async_run())
+    node.startup.others_are_down = early_start.others_are_down
+    daemon = GatewayDaemon(node, settings_file, early_start.listener)
+    return asyncio.run(daemon.async_run())
 
 
 def _reduce_collections() -> None:
@@ -94,9 +101,14 @@
         self,
         node: GatewayNode,
         settings_file: Path | None = None,
+        caller_listener: socket.socket | None = None,
     ) -> None:
-        """Create the loops; no socket is opened yet."""
+        """Create the loops; no socket is opened yet.
+
+        A socket on which callers wait already is used for them.
+        """
         self._node = node
+        self._caller_listener = caller_listener
         self._settings_loop = SettingsLoop(
             node,
             settings_file,
@@ -218,7 +230,7 @@
             if address:
                 server = HttpServer(
                     application,
-                    bind_socket(address),
+                    self._listener(purpose, address),
                     KEEP_ALIVE_S,
                 )
                 await server.async_start()
@@ -226,6 +238,12 @@
                 bound[purpose] = server.address
         self._record_addresses(bound)
 
+    def _listener(self, purpose: str, address: str) -> socket.socket:
+        """Return the socket for an address, which may listen already."""
+        if purpose == 'caller' and self._caller_listener is not None:
+            return self._caller_listener
+        return bind_socket(address)
+
     def _record_addresses(self, bound: dict[str, str]) -> None:
         """Tell other daemons and the log the addresses in use.
 
--- a/yuccavalve/daemon/startup.py
+++ b/yuccavalve/daemon/startup.py
@@ -23,12 +23,16 @@
         Whether a daemon that takes requests has told what it knows.
     quarantine_read
         Whether the row of the quarantine was read.
+    others_are_down
+        Whether no other daemon ran as this one started. Those that have started
+        since know no more than the store tells.
     is_complete
         Whether the daemon may take requests.
     """
 
     has_heard: bool = False
     quarantine_read: bool = False
+    others_are_down: bool = False
     is_complete: bool = False
     _failed: set[str] = attrs.field(factory=set)
     _waits_since_s: float | None = None
@@ -82,8 +86,9 @@
         """Return what else has to be heard; empty for nothing."""
         if self.has_heard:
             return ''
-        if others is None:
-            return 'members'
-        if not self._failed.issuperset(others):
-            return 'peer_news'
+        if not self.others_are_down:
+            if others is None:
+                return 'members'
+            if not self._failed.issuperset(others):
+                return 'peer_news'
         return '' if self.quarantine_read else 'quarantine_row'
--- a/yuccavalve/observability/metrics.py
+++ b/yuccavalve/observability/metrics.py
@@ -1,23 +1,18 @@
 """Request counters, latency histograms and gauges of one daemon."""
 
+import importlib
 from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    Metric,
-    SummaryMetricFamily,
-)
 
 from yuccavalve.clock import Clock
 from yuccavalve.quarantine import RequestQuarantine
 from yuccavalve.ratelimit import PermitGrantor, RateLimiter
 
 __all__ = (
+    'LabelledSeries',
     'Metrics',
     'RequestMeasurement',
     'add_limit_gauges',
@@ -27,9 +22,9 @@
 _LOWEST_MS = 1
 _HIGHEST_MS = 3600000
 _SIGNIFICANT_DIGITS = 2
-_QUANTILES = (50, 95, 99)
+_EXPOSITION = 'yuccavalve.observability.exposition'
 
-_LabelledSeries = tuple[
+LabelledSeries = tuple[
     tuple[str, ...],
     Callable[[], Mapping[tuple[str, ...], float]],
 ]
@@ -47,27 +42,33 @@
 
 
 class Metrics:
-    """Collects a daemon's metrics for Prometheus.
-
-    Requests are counted by service, request class and result code; latencies
-    are recorded by service.
+    """Collects a daemon's metrics.
+
+    Attributes
+    ----------
+    requests
+        Ended requests by service, request class and result code.
+    first_byte, between_events
+        Latencies in milliseconds by service.
+    histograms
+        Further durations in milliseconds by metric and service.
+    gauges, gauges_by_label, counters_by_label
+        Series that are read at each scrape, by name.
     """
 
     def __init__(self) -> None:
-        """Register an empty collector."""
+        """Start without measurements."""
         self.requests: Counter[tuple[str, str, int]] = Counter()
         self.first_byte: dict[str, HdrHistogram] = {}
         self.between_events: dict[str, HdrHistogram] = {}
-        self._histograms: dict[str, dict[str, HdrHistogram]] = {}
-        self._gauges: dict[str, Callable[[], float]] = {}
-        self._labelled_gauges: dict[str, _LabelledSeries] = {}
-        self._labelled_counters: dict[str, _LabelledSeries] = {}
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
+        self.histograms: dict[str, dict[str, HdrHistogram]] = {}
+        self.gauges: dict[str, Callable[[], float]] = {}
+        self.gauges_by_label: dict[str, LabelledSeries] = {}
+        self.counters_by_label: dict[str, LabelledSeries] = {}
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Add a gauge; ``read`` is called at each scrape."""
-        self._gauges[name] = read
+        self.gauges[name] = read
 
     def labelled_counters(
         self,
@@ -76,7 +77,7 @@
         read: Callable[[], Mapping[tuple[str, ...], int]],
     ) -> None:
         """Add labelled counters; ``read`` is called at each scrape."""
-        self._labelled_counters[name] = (labels, read)
+        self.counters_by_label[name] = (labels, read)
 
     def labelled_gauges(
         self,
@@ -85,7 +86,7 @@
         read: Callable[[], Mapping[tuple[str, ...], float]],
     ) -> None:
         """Add labelled gauges; ``read`` is called at each scrape."""
-        self._labelled_gauges[name] = (labels, read)
+        self.gauges_by_label[name] = (labels, read)
 
     def observe(self, measured: RequestMeasurement) -> None:
         """Count an ended request and record its latencies."""
@@ -102,32 +103,16 @@
 
     def record_ms(self, name: str, service: str, duration_ms: float) -> None:
         """Record a duration in the histogram of a metric and service."""
-        _record(self._histograms.setdefault(name, {}), service, duration_ms)
+        _record(self.histograms.setdefault(name, {}), service, duration_ms)
 
     def text(self) -> bytes:
-        """Return the metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
-
-    def collect(self) -> Iterator[Metric]:
-        """Yield the metric families for ``prometheus_client``."""
-        requests = CounterMetricFamily(
-            'yuccavalve_requests',
-            'Requests ended, by result code',
-            labels=('service', 'request_class', 'code'),
-        )
-        for (service, request_class, code), count in self.requests.items():
-            requests.add_metric((service, request_class, str(code)), count)
-        yield requests
-        yield from _histogram_families('first_byte_ms', self.first_byte)
-        yield from _histogram_families('between_events_ms', self.between_events)
-        for metric_name, histograms in self._histograms.items():
-            yield from _histogram_families(metric_name, histograms)
-        yield from _labelled_families(
-            CounterMetricFamily, self._labelled_counters
-        )
-        yield from _labelled_families(GaugeMetricFamily, self._labelled_gauges)
-        for name, read in self._gauges.items():
-            yield GaugeMetricFamily(f'yuccavalve_{name}', name, read())
+        """Return the metrics in the Prometheus text format.
+
+        The library is imported at the first call: it takes a tenth of the
+        import time of a daemon.
+        """
+        exposition = importlib.import_module(_EXPOSITION)
+        return exposition.metrics_text(self)
 
 
 def add_limit_gauges(
@@ -172,43 +157,3 @@
         histogram = HdrHistogram(_LOWEST_MS, _HIGHEST_MS, _SIGNIFICANT_DIGITS)
         histograms[service] = histogram
     histogram.record_value(max(_LOWEST_MS, round(duration_ms)))
-
-
-def _labelled_families(
-    kind: type[CounterMetricFamily | GaugeMetricFamily],
-    series: Mapping[str, _LabelledSeries],
-) -> Iterator[Metric]:
-    for name, (labels, read_counts) in series.items():
-        family = kind(f'yuccavalve_{name}', name, labels=labels)
-        for label_values, count in read_counts().items():
-            family.add_metric(label_values, count)
-        yield family
-
-
-def _histogram_families(
-    name: str,
-    histograms: dict[str, HdrHistogram],
-) -> Iterator[Metric]:
-    family = GaugeMetricFamily(
-        f'yuccavalve_{name}',
-        f'Quantiles of {name}',
-        labels=('service', 'quantile'),
-    )
-    count = SummaryMetricFamily(
-        f'yuccavalve_{name}_total',
-        f'Count of {name}',
-        labels=('service',),
-    )
-    for service, histogram in histograms.items():
-        for quantile in _QUANTILES:
-            family.add_metric(
-                (service, str(quantile / 100)),
-                histogram.get_value_at_percentile(quantile),
-            )
-        count.add_metric(
-            (service,),
-            histogram.get_total_count(),
-            histogram.get_mean_value() * histogram.get_total_count(),
-        )
-    yield family
-    yield count
--- a/yuccavalve/serving.py
+++ b/yuccavalve/serving.py
@@ -13,10 +13,10 @@
 
 from yuccavalve.const import HEADER_RESULT
 from yuccavalve.results import ResultCode
+from yuccavalve.sockets import BACKLOG, bind_socket
 
 __all__ = ('HttpServer', 'bind_socket')
 
-_BACKLOG = 1024
 _MAX_HEADER_BYTES = 32768
 # Bytes received since an element of a request last ended. One read may bring
 # 262144 bytes.
@@ -30,8 +30,6 @@
 # Time for requests on the connections that were accepted last.
 _STOP_LINGER_S = 0.15
 _START_POLL_S = 0.01
-_USER_TIMEOUT_MS = 60000
-_SEND_BUFFER_BYTES = 131072
 
 
 class BoundedHeaderProtocol(HttpToolsProtocol):
@@ -172,7 +170,7 @@
                 server_header=False,
                 date_header=False,
                 timeout_keep_alive=keep_alive_s,
-                backlog=_BACKLOG,
+                backlog=BACKLOG,
             ),
         )
         self._task: asyncio.Task[None] | None = None
@@ -247,27 +245,8 @@
     """Accept the connections that wait at a listening socket."""
     accepted: list[socket.socket] = []
     with contextlib.suppress(BlockingIOError):
-        while len(accepted) < _BACKLOG:
+        while len(accepted) < BACKLOG:
             connection, _ = listener.accept()
             connection.setblocking(False)
             accepted.append(connection)
     return accepted
-
-
-def bind_socket(address: str) -> socket.socket:
-    """Bind and return a TCP socket for an IP address and port."""
-    host, _, port = address.rpartition(':')
-    host = host.strip('[]')
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Closes the connection of a caller that has stopped reading.
-    listener.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        _USER_TIMEOUT_MS,
-    )
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
-    listener.bind((host, int(port)))
-    listener.setblocking(False)
-    return listener
