--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -77,6 +77,11 @@
     node = build_gateway_node(settings, ports, Random())
     node.log_rate_limiter = log_rate_limiter or node.log_rate_limiter
     node.startup.others_are_down = early_start.others_are_down
+    if early_start.others_are_down:
+        logging.warning(
+            'event=started_without_neighbors listens_early=%s',
+            early_start.listener is not None,
+        )
     daemon = GatewayDaemon(node, settings_file, early_start.listener)
     return asyncio.run(daemon.async_run())
 
