Keep requests out of evacuated zones

Cause: an operator who evacuates a zone (row evacuate/ZONE of table op) was not heard: daemons read only the row of the routes from that table. Change: yuccavalve/evacuation holds the set of zones and the version of the feed that it reflects. Rows of the store and news of other daemons replace an older set; the engine selection leaves out servers of these zones, and looks again once a connection is made. If no other server is left, requests get 503 ZONE_EVACUATED at once. A daemon is ready once it knows the set, and reads the feed itself while other daemons don't confirm it. Metrics and log lines name the zones.

--- a/tests/daemon/test_gateway_metrics.py
+++ b/tests/daemon/test_gateway_metrics.py
@@ -6,6 +6,7 @@
 from tests.platform import builders
 from yuccavalve.daemon.gateway_metrics import metrics_application
 from yuccavalve.daemon.gateway_node import build_gateway_node
+from yuccavalve.evacuation import EvacuationNews
 from yuccavalve_platform.daemon import build_ports
 from yuccavalve_platform.routes import decode_routes
 
@@ -19,6 +20,11 @@
     'yuccavalve_engines_limited 1.0',
     'yuccavalve_engine_limit_per_s{engine="unlisted-00000007"} 1.5',
     'yuccavalve_permits_held 0.0',
+    'yuccavalve_zone_evacuated{zone="zone-b"} 1.0',
+    'yuccavalve_zones_evacuated 1.0',
+    'yuccavalve_evacuations_version 4.0',
+    'yuccavalve_evacuations_age_seconds',
+    'yuccavalve_evacuations_passed_over 0.0',
     'yuccavalve_limits_passed_over 0.0',
     'yuccavalve_retries_left{service="portal"}',
     'yuccavalve_replicas_open{model="m-large",service="llm"} 0.0',
@@ -38,6 +44,9 @@
             node.log_rate_limiter.count_dropped()
         node.gateway.metrics.record_ms('repair_ms', 'llm', 1500)
         node.limiter.table.record_named(7, 1.5, node.clock.now_s())
+        node.evacuations.apply_news(
+            EvacuationNews(4, frozenset(('zone-b',)), node.clock.now_s())
+        )
         metrics_application(node)
         text = node.gateway.metrics.text().decode()
         for name in _EXPECTED:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,12 +1,13 @@
 """What the store's answers mean for the rows of yuccavalve."""
 
+import json
 import unittest
 
 from tests.support.byte_server import ByteServer
 from yuccavalve.exceptions import StoreUnavailableError
 from yuccavalve.ports import Transaction, Write
 from yuccavalve_platform.client import JsonClient
-from yuccavalve_platform.store import StoreTable
+from yuccavalve_platform.store import RoutingRows, StoreTable
 
 _TIMEOUT_S = 5.0
 _WHOLE_BODY = b'{"ver": 7, "now_ms": 1}'
@@ -53,3 +54,22 @@
                 self.assertRaises(StoreUnavailableError),
             ):
                 await self.table.async_scan('lease/')
+
+    async def test_evacuations_arrive_without_a_change_of_the_routes(
+        self,
+    ) -> None:
+        rows = [
+            {'key': 'evacuate/z1', 'value': 'e30=', 'ver': 7},
+            {'key': 'evacuate/z2', 'is_gone': True, 'ver': 8},
+            {'key': 'evacuate/', 'value': 'e30=', 'ver': 8},
+            {'key': 'evacuated', 'value': 'e30=', 'ver': 8},
+            {'key': 'evacuate/z3', 'part': 'x', 'value': 'e30=', 'ver': 8},
+        ]
+        body = json.dumps({'ver': 8, 'rows': rows}).encode()
+        self.server.answer_bytes = _HEAD + body
+        feed = RoutingRows(self.table.calls)
+        changes = await feed.async_wait(6, 0)
+        self.assertEqual(changes.document, b'')
+        self.assertEqual(changes.evacuated, {'z1': True, 'z2': False})
+        self.assertFalse(changes.is_complete)
+        self.assertTrue((await feed.async_read()).is_complete)
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -64,6 +64,7 @@
             reading = await feed.async_wait(self._feed_version, wait_s)
         else:
             reading = await feed.async_read()
+        self.node.apply_evacuations(reading)
         if reading.document:
             self._adopt(reading.document)
         elif self.node.routing.table is None:
--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -59,6 +59,7 @@
     metrics.gauge('cell_daemons', node.share_state.cell_size)
     add_quarantine_gauges(metrics, node.share_state.quarantine)
     add_limit_gauges(metrics, node.limiter, node.grantor, node.clock)
+    _add_evacuation_gauges(metrics, node)
     metrics.labelled_gauges(
         'engine_limit_per_s', ('engine',), lambda: _limits_per_s(node)
     )
@@ -67,6 +68,23 @@
     )
 
 
+def _add_evacuation_gauges(metrics: Metrics, node: GatewayNode) -> None:
+    """Add gauges of the evacuated zones, and of the set's version and age."""
+    evacuations = node.evacuations
+    metrics.labelled_gauges(
+        'zone_evacuated',
+        ('zone',),
+        lambda: {(zone,): 1 for zone in evacuations.zones},
+    )
+    metrics.gauge('zones_evacuated', lambda: len(evacuations.zones))
+    metrics.gauge('evacuations_version', lambda: evacuations.version)
+    metrics.gauge(
+        'evacuations_age_seconds',
+        lambda: node.clock.now_s() - evacuations.confirmed_at_s,
+    )
+    metrics.gauge('evacuations_passed_over', lambda: evacuations.passed_over)
+
+
 def _retries_left(node: GatewayNode) -> dict[tuple[str, ...], int]:
     """Return the retries left in this daemon's part of the budgets."""
     table = node.routing.table
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -13,6 +13,7 @@
 from yuccavalve.daemon.entry_directory import EntryDirectory
 from yuccavalve.daemon.loop_delay import LoopDelay
 from yuccavalve.daemon.startup import StartupKnowledge
+from yuccavalve.evacuation import EvacuationReading, EvacuationState
 from yuccavalve.fleet.activity import (
     Activity,
     engine_key,
@@ -48,6 +49,7 @@
     EngineControlPort,
     EngineFeed,
     RoutingFeed,
+    RoutingSnapshot,
 )
 from yuccavalve.quarantine import RequestQuarantine
 from yuccavalve.ratelimit import (
@@ -114,6 +116,8 @@
         Permits for requests to engines that have named a limit.
     grantor
         Grants these permits while this daemon plans.
+    evacuations
+        Zones whose servers get no new requests.
     member_rows_read
         Whether the rows of all daemons were read since the start.
     startup
@@ -135,6 +139,7 @@
     hubs: HubRanking
     limiter: RateLimiter
     grantor: PermitGrantor
+    evacuations: EvacuationState
     member_rows_read: bool = False
     startup: StartupKnowledge = attrs.field(factory=StartupKnowledge)
     log_rate_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
@@ -184,11 +189,16 @@
         return self.view_fresh_s() < 0
 
     def routes_fresh_s(self) -> float:
-        """Return how long the routes still count as confirmed."""
-        if self.routing.table is None:
+        """Return how long routes and evacuations still count as confirmed.
+
+        Both are read from one feed.
+        """
+        if self.routing.table is None or not self.evacuations.is_known:
             return _ALWAYS_STALE_S
-        age_s = self.clock.now_s() - self.routing.confirmed_at_s
-        return self.stale_after_s() - age_s
+        confirmed_at_s = min(
+            self.routing.confirmed_at_s, self.evacuations.confirmed_at_s
+        )
+        return self.stale_after_s() - (self.clock.now_s() - confirmed_at_s)
 
     def share_period_s(self) -> float:
         """Return the time between exchanges, longer in a large cell."""
@@ -207,6 +217,7 @@
     def handle_engine_update(self) -> None:
         """Refresh dependent state after an update of the engines."""
         self._mark_leaving(self.activity.remote_leaving)
+        self._log_unserved_zones()
         self.update_informed()
         now_s = self.clock.now_s()
         if now_s - self._idle_forgotten_at_s >= FORGET_IDLE_S:
@@ -214,6 +225,29 @@
             keys = {engine_key(record) for record in self.view.records()}
             self.activity.forget_idle(keys, now_s)
 
+    def apply_evacuations(self, reading: RoutingSnapshot) -> None:
+        """Apply the evacuated zones in an answer of the store."""
+        self.evacuations.apply_reading(
+            EvacuationReading(
+                reading.feed_version, reading.evacuated, reading.is_complete
+            ),
+            self.clock.now_s(),
+        )
+        self.update_informed()
+
+    def handle_evacuation_change(self) -> None:
+        """Tell others of a changed set, and plan replicas by it."""
+        self.urgent_update.set()
+        self.engines_changed.set()
+        self._log_unserved_zones()
+
+    def _log_unserved_zones(self) -> None:
+        """Log evacuated zones without servers once the engines are known."""
+        if self.evacuations.zones and self.view.version:
+            self.evacuations.log_unserved(
+                {record.availability_zone for record in self.view.records()}
+            )
+
     def mark_remote_leaving(self) -> None:
         """Mark the engines that have told other daemons that they leave."""
         leaving = self.activity.remote_leaving
@@ -277,10 +311,10 @@
         if share_state.informed:
             return
         newest_version, _ = share_state.newest_routing()
-        has_routes = self.routing.table is not None
+        has_rows = self.routing.table is not None and self.evacuations.is_known
         share_state.informed = self.startup.update(
             self._informed_daemons(),
-            has_base=has_routes and self.view.version > 0,
+            has_base=has_rows and self.view.version > 0,
             is_current=self.routing.version >= newest_version,
             now_s=self.clock.now_s(),
         )
@@ -348,6 +382,7 @@
         random,
         quarantine=quarantine,
         limits=dispatcher.selector.limiter.table,
+        evacuations=dispatcher.selector.evacuations,
     )
     gateway = Gateway(ports.decoder, routing, dispatcher, clock, random)
     gateway.is_informed = lambda: share_state.informed
@@ -374,7 +409,9 @@
         hubs=HubRanking(roster),
         limiter=dispatcher.selector.limiter,
         grantor=PermitGrantor(dispatcher.selector.limiter.table),
+        evacuations=dispatcher.selector.evacuations,
     )
+    node.evacuations.on_change = node.handle_evacuation_change
     _connect_limits(node)
     return node
 
--- a/yuccavalve/gateway/const.py
+++ b/yuccavalve/gateway/const.py
@@ -19,6 +19,9 @@
 # form. The jitter, as a fraction of the time, keeps callers from returning
 # all at once.
 RETRY_AFTER_NO_REPLICA_S: Final = 0.8
+# While every server of a service is in an evacuated zone, replicas form
+# elsewhere within about two seconds if they can at all.
+RETRY_AFTER_EVACUATED_S: Final = 1.0
 RETRY_AFTER_BUSY_S: Final = 0.4
 RETRY_AFTER_NOT_READY_S: Final = 0.5
 RETRY_AFTER_JITTER: Final = 0.5
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -373,10 +373,16 @@
         )
 
     def _may_send(self, attempt: _Attempt) -> bool:
+        if self._is_evacuated(attempt):
+            return False
         return self.selector.limiter.may_send(
             process_hash(attempt.engine), attempt.permit, self.clock.now_s()
         )
 
+    def _is_evacuated(self, attempt: _Attempt) -> bool:
+        zone = attempt.engine.availability_zone
+        return self.selector.evacuations.is_evacuated(zone)
+
     def _avoid(self, attempt: _Attempt, duration_s: float) -> None:
         until_s = self.clock.now_s() + duration_s
         self.activity.avoid(attempt.run.key, until_s)
@@ -392,6 +398,8 @@
         if not isinstance(error, PermitExpiredError):
             outcome = 'not_reached'
             self.activity.record_unreached(attempt.run.key, self.clock.now_s())
+        elif self._is_evacuated(attempt):
+            outcome = 'zone_evacuated'
         self._record_failure(routed, attempt, outcome, error)
 
     def _record_lost(
--- a/yuccavalve/gateway/selection.py
+++ b/yuccavalve/gateway/selection.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from yuccavalve.evacuation import EvacuationState
 from yuccavalve.exceptions import RequestRefusedError
 from yuccavalve.fleet.activity import Activity, engine_key, process_hash
 from yuccavalve.fleet.view import FleetView
@@ -18,6 +19,7 @@
     ASSUMED_PLAIN_S,
     ASSUMED_STREAM_S,
     MAX_LOGGED_ENGINES,
+    RETRY_AFTER_EVACUATED_S,
     RETRY_AFTER_JITTER,
     RETRY_AFTER_NO_REPLICA_S,
 )
@@ -67,6 +69,8 @@
         Chooses among the engines that can take it.
     limiter
         Decides whether an engine that has named a limit may be used.
+    evacuations
+        Zones whose servers get nothing new.
     """
 
     view: FleetView
@@ -81,6 +85,7 @@
             lambda selector: RateLimiter(selector.random), takes_self=True
         )
     )
+    evacuations: EvacuationState = attrs.field(factory=EvacuationState)
 
     def choose(
         self,
@@ -96,9 +101,8 @@
             If no engine can take the request now.
         """
         candidates = self._candidates(service, routed.inbound.model)
-        untried = [
-            each for each in candidates if each.engine not in routed.tried
-        ]
+        admitted = self._not_evacuated(candidates)
+        untried = [each for each in admitted if each.engine not in routed.tried]
         sound = [
             each
             for each in untried
@@ -108,7 +112,9 @@
             raise self._refusal(
                 ResultCode.NO_REPLICA,
                 RETRY_AFTER_NO_REPLICA_S,
-                f'{len(candidates)} engines serve, {len(untried)} not tried, '
+                f'{len(candidates)} engines serve'
+                f'{_evacuated_text(candidates, admitted)}, '
+                f'{len(untried)} not tried, '
                 f'none of them sound{_unsound_text(untried, sound)}',
                 self._backoff_s(untried, now_s),
             )
@@ -130,6 +136,20 @@
             )
         return best
 
+    def _not_evacuated(
+        self, candidates: Sequence[EngineRecord]
+    ) -> Sequence[EngineRecord]:
+        """Return the engines outside of evacuated zones."""
+        admitted = self.evacuations.outside(candidates)
+        if candidates and not admitted:
+            raise self._refusal(
+                ResultCode.ZONE_EVACUATED,
+                RETRY_AFTER_EVACUATED_S,
+                f'{len(candidates)} engines serve, all in evacuated zones '
+                f'{" ".join(sorted(self.evacuations.zones))}',
+            )
+        return admitted
+
     def _allowed(
         self,
         service: ServiceProfile,
@@ -295,6 +315,13 @@
     return round(duration_s * _MS)
 
 
+def _evacuated_text(
+    candidates: Sequence[EngineRecord], admitted: Sequence[EngineRecord]
+) -> str:
+    count = len(candidates) - len(admitted)
+    return f', {count} in evacuated zones' if count else ''
+
+
 def _unsound_text(
     untried: Sequence[EngineRecord],
     sound: Sequence[EngineRecord],
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -14,6 +14,7 @@
 
 from yuccavalve.clock import Clock
 from yuccavalve.const import PROTOCOL_VERSION
+from yuccavalve.evacuation import EvacuationState
 from yuccavalve.fleet.activity import Activity, engine_key_hash
 from yuccavalve.fleet.const import SHARE_MAX_AGE_S
 from yuccavalve.membership import Member, Roster
@@ -27,6 +28,10 @@
     DIGEST_MAX_AGE_S,
     INTRODUCED_RELAY_S,
 )
+from yuccavalve.peers.evacuation_news import (
+    apply_evacuations,
+    encode_evacuations,
+)
 from yuccavalve.peers.exchanges import ExchangeTimes
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.peers.limit_news import decode_limits, encode_news
@@ -116,6 +121,8 @@
         Parts of prompts that crash engines.
     limits
         Limits that engines have named.
+    evacuations
+        Zones whose servers get no new requests.
     """
 
     roster: Roster
@@ -132,6 +139,7 @@
     exchanges: ExchangeTimes = attrs.field(factory=ExchangeTimes)
     quarantine: RequestQuarantine = attrs.field(factory=RequestQuarantine)
     limits: LimitTable = attrs.field(factory=LimitTable)
+    evacuations: EvacuationState = attrs.field(factory=EvacuationState)
     _sequence: int = 0
     _updates: dict[str, DaemonUpdate] = attrs.field(factory=dict)
     _followers: dict[str, float] = attrs.field(factory=dict)
@@ -160,6 +168,9 @@
             follows=follows,
             quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
             limits=encode_news(self.limits, self.clock.now_s()),
+            evacuations=encode_evacuations(
+                self.evacuations, self.clock.now_s()
+            ),
         )
         if follows or not self._reports_cell():
             return message
@@ -184,6 +195,9 @@
             sender=self._local_entry(with_loads=self.follows),
             quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
             limits=encode_news(self.limits, self.clock.now_s()),
+            evacuations=encode_evacuations(
+                self.evacuations, self.clock.now_s()
+            ),
         )
         if not request.follows:
             self._followers.pop(request.sender.member.member, None)
@@ -250,6 +264,8 @@
         self.limits.apply(
             decode_limits(message.limits, sent_at_s), self.clock.now_s()
         )
+        if apply_evacuations(self.evacuations, message, sent_at_s):
+            urgent = True
         return urgent or self.quarantine.take_urgent_news()
 
     def has_followers(self) -> bool:
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -1,6 +1,7 @@
 """Protocols for the engines of the fleet and for the routing feed."""
 
 import enum
+from collections.abc import Mapping
 from typing import Protocol
 
 import attrs
@@ -129,10 +130,17 @@
     ----------
     document
         The encoded routes; empty when nothing has changed.
+    evacuated
+        Whether a zone is evacuated, by zone, for the zones whose rows have
+        changed; False where the row was removed.
+    is_complete
+        Whether these are all zones, so that any other row was removed.
     """
 
     feed_version: int
     document: bytes = b''
+    evacuated: Mapping[str, bool] = attrs.field(factory=dict)
+    is_complete: bool = False
 
 
 class RoutingFeed(Protocol):
