Plan replicas around evacuated zones

Cause: the planner counted replicas of an evacuated zone as serving, so other zones got no replacement, and it formed and warmed engines there. Change: FormationInput names the evacuated zones. Their replicas are kept but don't count, their engines are neither formed, warmed, staged nor moved, and a replica that forms there is given up unless it may be open already. Measured: tests of formation pass (30), and fail without the count, the staging, the forming or the two rebalancing rules; removing the rule for engines in use or for spares alone changes no test, as the other rules cover both.

--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -116,7 +116,7 @@
             engine=self.engine,
             service='llm',
             address='10.0.0.1:1',
-            availability_zone='a',
+            availability_zone=self.domain.partition('-')[0],
             draining=self.draining,
             born_ms=self.born_ms,
             fabric_domain=self.domain,
@@ -141,6 +141,8 @@
         Engines' strikes from requests, and engines reported as slow.
     running
         Requests in flight by model.
+    evacuated
+        Evacuated zones; a zone is the part of a domain's name before a dash.
     refusing_connections
         Engines that refuse connections but still work.
     """
@@ -156,6 +158,7 @@
     strikes: dict[str, int] = attrs.field(factory=dict)
     slow: set[str] = attrs.field(factory=set)
     running: dict[str, float] = attrs.field(factory=dict)
+    evacuated: frozenset[str] = frozenset()
     refusing_connections: set[str] = attrs.field(factory=set)
     _delayed_orders: list[tuple[float, ModelEngine, GroupOrder]] = attrs.field(
         factory=list,
@@ -287,6 +290,7 @@
             strikes=self.strikes,
             slow=frozenset(self.slow),
             running=self.running,
+            evacuated=self.evacuated,
         )
 
     def _order(self, planner: FormationPlanner, task: OrderTask) -> None:
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -181,6 +181,7 @@
             settled=view.is_settled(now_s),
             started=self.node.share_state.started,
             is_new_daemon=now_s - view.first_read_at_s < NEW_DAEMON_GRACE_S,
+            evacuated=self.node.evacuations.zones,
         )
 
     def _strikes(self, listed: Mapping[str, EngineRecord]) -> dict[str, int]:
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -70,6 +70,9 @@
         Model that other replicas were just given up for; it forms first.
     is_new_daemon
         Whether this daemon first read the list only a short time ago.
+    evacuated
+        Zones whose engines get no new requests. Their replicas are kept, but
+        don't count, and their engines are not used for others.
     """
 
     service: ServiceProfile
@@ -87,6 +90,7 @@
     soon_available: Mapping[str, Mapping[str, int]] = attrs.field(factory=dict)
     priority_model: str = ''
     is_new_daemon: bool = False
+    evacuated: frozenset[str] = frozenset()
 
     @property
     def models(self) -> Sequence[ModelProfile]:
@@ -94,6 +98,13 @@
         profile = self.service.engine
         return () if profile is None else profile.models
 
+    def is_evacuated(self, engine: str) -> bool:
+        """Return whether an engine is in an evacuated zone."""
+        if not self.evacuated:
+            return False
+        record = self.engines.get(engine) or self.unlisted.get(engine)
+        return record is not None and record.availability_zone in self.evacuated
+
     @cached_property
     def domain_sizes(self) -> Mapping[str, int]:
         """Count the engines that are not draining, by fabric domain."""
--- a/yuccavalve/formation/observation.py
+++ b/yuccavalve/formation/observation.py
@@ -117,6 +117,8 @@
     for record in facts.engines.values():
         if record.draining or record.engine in taken:
             continue
+        if record.availability_zone in facts.evacuated:
+            continue
         if record.engine not in facts.dead:
             domains[record.fabric_domain].append(record)
     return domains
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -14,7 +14,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 import attrs
 from absl import logging
@@ -213,14 +213,10 @@
     ) -> None:
         serving = self._serving_elsewhere(replicas)
         for replica in list(self.forming.values()):
-            lost = _lost_member(facts, replica)
             elsewhere = serving.intersection(replica.members)
-            if lost:
-                self._abandon(replica, f'member {lost} is lost')
-            elif elsewhere:
-                self._abandon(replica, f'member {min(elsewhere)} is serving')
-            elif now_s > replica.give_up_at_s:
-                self._abandon(replica, 'forming timed out')
+            reason = _forming_fault(facts, replica, elsewhere, now_s)
+            if reason:
+                self._abandon(replica, reason)
 
     def _serving_elsewhere(
         self, replicas: Mapping[str, ObservedReplica]
@@ -400,12 +396,16 @@
         profile = facts.service.engine
         counts = {model.name: 0 for model in profile.models} if profile else {}
         for forming in self.forming.values():
-            counts[forming.model.name] += 1
-        for replica in replicas.values():
-            if self._is_in_transition(replica.replica):
-                continue
+            if not facts.is_evacuated(forming.head):
+                counts[forming.model.name] += 1
+        serving = [
+            replica
+            for name, replica in replicas.items()
+            if replica.is_open and not self._is_in_transition(name)
+        ]
+        for replica in serving:
             model = model_of(facts, replica)
-            if replica.is_open and model is not None:
+            if model is not None and not facts.is_evacuated(replica.head):
                 counts[model.name] += 1
         return counts
 
@@ -538,6 +538,29 @@
     return soon_available
 
 
+def _forming_fault(
+    facts: FormationInput,
+    replica: FormingReplica,
+    elsewhere: Collection[str],
+    now_s: float,
+) -> str:
+    """Return why a forming replica must be abandoned, or an empty string.
+
+    One that may be open already is kept in an evacuated zone, like those that
+    serve.
+    """
+    lost = _lost_member(facts, replica)
+    if lost:
+        return f'member {lost} is lost'
+    if elsewhere:
+        return f'member {min(elsewhere)} is serving'
+    if now_s > replica.give_up_at_s:
+        return 'forming timed out'
+    if facts.is_evacuated(replica.head) and not replica.opened:
+        return 'zone is evacuated'
+    return ''
+
+
 def _lost_member(facts: FormationInput, replica: FormingReplica) -> str:
     for engine, born_ms in zip(
         replica.members,
--- a/yuccavalve/formation/rebalance.py
+++ b/yuccavalve/formation/rebalance.py
@@ -215,6 +215,8 @@
     model = model_of(facts, replica)
     if not replica.is_open or model is None or model == recipient:
         return False
+    if facts.is_evacuated(replica.head):
+        return False
     return facts.engines.keys() >= replica.members.keys()
 
 
@@ -290,10 +292,16 @@
 ) -> list[EngineRecord] | None:
     """Return the engines that load the model, or None.
 
-    None means that a donor is no longer open or an engine no longer listed.
+    None means that a donor is no longer open, that its zone is evacuated, or
+    that an engine is no longer listed.
     """
     donors = [replicas.get(donor) for donor in move.donors]
-    if not all(donor is not None and donor.is_open for donor in donors):
+    if not all(
+        donor is not None
+        and donor.is_open
+        and not facts.is_evacuated(donor.head)
+        for donor in donors
+    ):
         return None
     records = [facts.engines.get(engine) for engine in move.engines]
     listed = [record for record in records if record is not None]
--- a/yuccavalve/formation/staging.py
+++ b/yuccavalve/formation/staging.py
@@ -117,6 +117,8 @@
     )
     if record.draining or is_joining or is_loading(facts, record):
         return None
+    if record.availability_zone in facts.evacuated:
+        return None
     held = held_model(facts, record)
     if held not in record.models or record.engine in facts.dead:
         return None
--- a/yuccavalve/formation/warming.py
+++ b/yuccavalve/formation/warming.py
@@ -117,6 +117,8 @@
         return False
     if record.draining or warming.engine in facts.dead:
         return False
+    if facts.is_evacuated(warming.engine):
+        return False
     membership = record.membership
     if membership is None or membership.epoch < warming.epoch:
         return True
