Suspend joins of a model whose join orders crash engines

Change: formation/suspensions.py counts engines that end within a second of an order to join, by model. Three of them suspend joins and staging for the model for 15 s, doubling to 600 s with single trials of one spare; an engine that becomes ready clears it. Engines that end without an order, dark domains and leaving engines don't count.

--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -141,6 +141,8 @@
         Engines' strikes from requests, and engines reported as slow.
     running
         Requests in flight by model.
+    crashing, crashes
+        Models whose join orders crash engines, and the times of these crashes.
     refusing_connections
         Engines that refuse connections but still work.
     """
@@ -157,6 +159,8 @@
     slow: set[str] = attrs.field(factory=set)
     running: dict[str, float] = attrs.field(factory=dict)
     refusing_connections: set[str] = attrs.field(factory=set)
+    crashing: set[str] = attrs.field(factory=set)
+    crashes: list[float] = attrs.field(factory=list)
     _delayed_orders: list[tuple[float, ModelEngine, GroupOrder]] = attrs.field(
         factory=list,
     )
@@ -303,6 +307,12 @@
             self._delayed_orders.append((at_s, engine, task.order))
             planner.record(task, OrderOutcome.UNKNOWN)
             return
+        is_join = task.order.kind is GroupOrderKind.JOIN
+        if is_join and task.order.model in self.crashing:
+            self.crashes.append(self.now_s)
+            self.kill(engine.engine)
+            planner.record(task, OrderOutcome.UNKNOWN)
+            return
         outcome = self._carry_out(engine, task.order)
         if self.random.random() < self.late_share:
             outcome = OrderOutcome.UNKNOWN
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -70,6 +70,14 @@
             node.engines_changed,
         )
 
+    def __attrs_post_init__(self) -> None:
+        """Add the gauge of suspended joins."""
+        self.node.gateway.metrics.labelled_gauges(
+            'joins_suspended',
+            ('service', 'model'),
+            self._suspended_joins,
+        )
+
     async def async_run(self) -> None:
         """Run planner steps until cancelled."""
         while True:
@@ -111,7 +119,9 @@
         self._prober.start_probes(
             (
                 (record, interval_s)
-                for record, interval_s in self._suspects(facts)
+                for record, interval_s in self._suspects(
+                    facts, planner.suspensions.suspects(now_s)
+                )
                 if self._may_probe(record, now_s)
             ),
             now_s,
@@ -126,6 +136,14 @@
             )
         self._log_demand(service, facts, now_s)
 
+    def _suspended_joins(self) -> dict[tuple[str, ...], float]:
+        """Return the suspensions' durations by service and model, in s."""
+        return {
+            (service, model): suspension.duration_s
+            for service, planner in self._planners.items()
+            for model, suspension in planner.suspensions.suspended.items()
+        }
+
     def _may_probe(self, record: EngineRecord, now_s: float) -> bool:
         node = self.node
         if now_s < node.activity.backoff_until_s(record):
@@ -213,12 +231,14 @@
     def _suspects(
         self,
         facts: FormationInput,
+        joining: frozenset[str],
     ) -> Iterator[tuple[EngineRecord, float]]:
         """Yield engines that may be dead and the interval of their probes.
 
         These are members of replicas with strikes and the spares of their
         fabric domains, which may have to replace them; engines that left
-        an order or a probe unanswered; and engines no longer listed.
+        an order or a probe unanswered; engines no longer listed; and engines
+        that join for a model whose join orders may crash engines.
         """
         heads = [
             facts.engines[head]
@@ -234,7 +254,7 @@
                 if membership is None
                 else membership.epoch in epochs
             )
-            if is_affected:
+            if is_affected or record.engine in joining:
                 yield record, STALLED_PROBE_INTERVAL_S
             elif self._prober.is_doubtful(record.engine):
                 yield record, PROBE_INTERVAL_S
--- a/yuccavalve/formation/const.py
+++ b/yuccavalve/formation/const.py
@@ -97,3 +97,22 @@
 # How long a head engine that refuses connections may still work on requests
 # that it has, as the platform states for engines that leave.
 LINGER_S: Final = 10.0
+# Engines that ended within JOIN_CRASH_S of an order to join are evidence
+# against the order's model, and this many of them suspend its joins.
+JOIN_CRASH_S: Final = 1.0
+JOIN_CRASHES: Final = 3
+# How long after an engine ended the planner may notice it: by a repeated order
+# or a probe, or only by the lapse of its record.
+END_NOTICE_S: Final = 1.2
+LATE_END_NOTICE_S: Final = 6.0
+# Period within which the engines must have ended.
+JOIN_EVIDENCE_S: Final = 10.0
+# First suspension of a model's joins; it doubles with each trial that crashes
+# an engine. A trial without a result is repeated after its time-out, which
+# exceeds the time of a load.
+JOIN_SUSPENSION_S: Final = 15.0
+JOIN_SUSPENSION_MAX_S: Final = 600.0
+JOIN_TRIAL_TIMEOUT_S: Final = 60.0
+# How long a model's joins count as having succeeded after the last engine that
+# had joined for it.
+JOIN_SUCCESS_MAX_AGE_S: Final = 600.0
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -70,6 +70,8 @@
         Model that other replicas were just given up for; it forms first.
     is_new_daemon
         Whether this daemon first read the list only a short time ago.
+    suspended
+        Models whose joins are suspended.
     """
 
     service: ServiceProfile
@@ -87,6 +89,7 @@
     soon_available: Mapping[str, Mapping[str, int]] = attrs.field(factory=dict)
     priority_model: str = ''
     is_new_daemon: bool = False
+    suspended: frozenset[str] = frozenset()
 
     @property
     def models(self) -> Sequence[ModelProfile]:
@@ -94,6 +97,15 @@
         profile = self.service.engine
         return () if profile is None else profile.models
 
+    @property
+    def joinable_models(self) -> Sequence[ModelProfile]:
+        """Return the models whose joins are not suspended."""
+        if not self.suspended:
+            return self.models
+        return [
+            model for model in self.models if model.name not in self.suspended
+        ]
+
     @cached_property
     def domain_sizes(self) -> Mapping[str, int]:
         """Count the engines that are not draining, by fabric domain."""
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -46,6 +46,7 @@
 from yuccavalve.formation.repairs import Repairs
 from yuccavalve.formation.staging import HostStaging
 from yuccavalve.formation.starter import ReplicaStarter
+from yuccavalve.formation.suspensions import JoinSuspensions
 from yuccavalve.ports.fleet import (
     EngineRecord,
     GroupOrder,
@@ -71,12 +72,15 @@
         Detects open replicas that must be given up.
     repairs
         Measures how long models lacked a replica that was given up.
+    suspensions
+        Models whose joins are suspended because they crash engines.
     forming
         Replicas that are being formed, by name.
     """
 
     health: ReplicaHealth
     repairs: Repairs = attrs.field(factory=Repairs)
+    suspensions: JoinSuspensions = attrs.field(factory=JoinSuspensions)
     forming: dict[str, FormingReplica] = attrs.field(factory=dict)
     _term: int = 0
     _retiring: dict[str, RetiringReplica] = attrs.field(factory=dict)
@@ -95,7 +99,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Share one rate limit among all parts that start loads."""
-        self._starter = ReplicaStarter(self._loads)
+        self._starter = ReplicaStarter(self._loads, self.suspensions)
         self._rebalancer = Rebalancer(self._loads)
         self._staging = HostStaging(self._loads)
 
@@ -117,6 +121,8 @@
     def step(self, facts: FormationInput, now_s: float) -> list[OrderTask]:
         """Return the orders to send now."""
         self._now_s = now_s
+        suspended = self.suspensions.update(facts, now_s)
+        facts = attrs.evolve(facts, suspended=suspended)
         self.health.update_draining(facts, now_s)
         self._record_engines(facts, now_s)
         replicas = replicas_of(facts)
@@ -146,11 +152,18 @@
             *self._rebalancer.tasks(facts, self._term),
             *self._staging.tasks(facts, self._term, now_s),
         ]
-        return [task for task in tasks if self._is_due(task, now_s)]
+        due = [
+            task
+            for task in tasks
+            if self.suspensions.may_send(task) and self._is_due(task, now_s)
+        ]
+        self.suspensions.record_orders(due, now_s)
+        return due
 
     def record(self, task: OrderTask, outcome: OrderOutcome) -> None:
         """Process the outcome of an order."""
         order = task.order
+        self.suspensions.record_outcome(task, outcome)
         if order.kind is GroupOrderKind.LEAVE and outcome in _ACCEPTED:
             self._closed_at_s[order.replica] = self._now_s
         if order.kind is GroupOrderKind.LEAVE:
@@ -213,12 +226,9 @@
     ) -> None:
         serving = self._serving_elsewhere(replicas)
         for replica in list(self.forming.values()):
-            lost = _lost_member(facts, replica)
-            elsewhere = serving.intersection(replica.members)
-            if lost:
-                self._abandon(replica, f'member {lost} is lost')
-            elif elsewhere:
-                self._abandon(replica, f'member {min(elsewhere)} is serving')
+            reason = _lost_reason(facts, replica, serving)
+            if reason:
+                self._abandon(replica, reason)
             elif now_s > replica.give_up_at_s:
                 self._abandon(replica, 'forming timed out')
 
@@ -554,6 +564,36 @@
     return ''
 
 
+def _lost_reason(
+    facts: FormationInput, replica: FormingReplica, serving: set[str]
+) -> str:
+    """Return why a forming replica can no longer be opened, if so."""
+    lost = _lost_member(facts, replica)
+    if lost:
+        return f'member {lost} is lost'
+    elsewhere = serving.intersection(replica.members)
+    if elsewhere:
+        return f'member {min(elsewhere)} is serving'
+    is_suspended = replica.model.name in facts.suspended
+    if is_suspended and not _has_joined(facts, replica):
+        return 'joins of the model are suspended'
+    return ''
+
+
+def _has_joined(facts: FormationInput, replica: FormingReplica) -> bool:
+    """Return whether all members have joined, perhaps without being ready."""
+    memberships = [
+        facts.engines[engine].membership
+        for engine in replica.members
+        if engine in facts.engines
+    ]
+    joined = sum(
+        membership is not None and membership.epoch == replica.epoch
+        for membership in memberships
+    )
+    return joined == len(replica.members)
+
+
 def _record_ready(
     forming: FormingReplica,
     records: list[EngineRecord],
--- a/yuccavalve/formation/rebalance.py
+++ b/yuccavalve/formation/rebalance.py
@@ -174,7 +174,7 @@
     its donors' models busier than that model.
     """
     recipient = max(
-        facts.models,
+        facts.joinable_models,
         default=None,
         key=lambda model: slot_usage(facts, model, counts[model.name]),
     )
--- a/yuccavalve/formation/selection.py
+++ b/yuccavalve/formation/selection.py
@@ -101,7 +101,7 @@
     counts: Mapping[str, int],
 ) -> list[ModelProfile]:
     return sorted(
-        facts.models,
+        facts.joinable_models,
         key=lambda model: (
             model.name != facts.priority_model,
             _coverage(facts, model, counts),
@@ -243,7 +243,7 @@
     in_domain = facts.domain_sizes[domain]
     reserved = {
         other.name
-        for other in facts.models
+        for other in facts.joinable_models
         if is_half_warm(other, held)
         and other.size <= in_domain
         and other.size - held[other.name] < missing
--- a/yuccavalve/formation/spares.py
+++ b/yuccavalve/formation/spares.py
@@ -49,7 +49,7 @@
 ) -> _SpareModels:
     # The loss of any member stops a replica, so larger models need more
     # spares.
-    models = sorted(facts.models, key=lambda model: -model.size)
+    models = sorted(facts.joinable_models, key=lambda model: -model.size)
     held = Counter(held_model(facts, record) for record in records)
     for record in records:
         model = _wanted_model(facts, record, models, served, held)
--- a/yuccavalve/formation/staging.py
+++ b/yuccavalve/formation/staging.py
@@ -120,7 +120,7 @@
     held = held_model(facts, record)
     if held not in record.models or record.engine in facts.dead:
         return None
-    others = [model for model in facts.models if model.name != held]
+    others = [model for model in facts.joinable_models if model.name != held]
     if any(model.name in record.staged for model in others):
         return None
     # The loss of any member stops a replica, so larger models come first.
--- a/yuccavalve/formation/starter.py
+++ b/yuccavalve/formation/starter.py
@@ -14,12 +14,14 @@
 )
 from yuccavalve.formation.observation import (
     cold_members,
+    held_model,
     is_loading,
     is_warm,
     usable_engines,
 )
 from yuccavalve.formation.selection import choose_next, choose_warm
 from yuccavalve.formation.spares import choose_spares
+from yuccavalve.formation.suspensions import JoinSuspensions
 from yuccavalve.formation.warming import Warmups
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.routing import ModelProfile
@@ -35,11 +37,14 @@
     ----------
     loads
         Rate limit of loads from the weight store.
+    suspensions
+        Models whose joins are suspended, except for trials.
     warmups
         Spares that are being warmed.
     """
 
     loads: LoadRateLimiter
+    suspensions: JoinSuspensions
     warmups: Warmups = attrs.field(factory=Warmups)
     _term: int = 0
     _epochs: int = 0
@@ -49,6 +54,7 @@
         self._term = term
         self._epochs = 0
         self.warmups.clear()
+        self.suspensions.clear()
 
     def form(
         self,
@@ -83,6 +89,7 @@
         now_s: float,
     ) -> None:
         """Start to warm engines for the next replicas, then other spares."""
+        self._begin_trials(facts, taken, now_s)
         reserved = set(taken)
         planned = dict(counts)
         wanted: list[tuple[EngineRecord, ModelProfile]] = []
@@ -133,19 +140,36 @@
         )
         return forming
 
+    def _begin_trials(
+        self, facts: FormationInput, taken: set[str], now_s: float
+    ) -> None:
+        """Warm one spare for each model whose suspension is over."""
+        for name in self.suspensions.due_trials(now_s):
+            model = next((each for each in facts.models if each.name == name))
+            spare = _trial_spare(facts, taken, name)
+            if spare is None:
+                continue
+            epoch = self._begin_warming(facts, spare, model, now_s)
+            if epoch is not None:
+                self.suspensions.begin_trial(name, spare.engine, epoch)
+
     def _begin_warming(
         self,
         facts: FormationInput,
         record: EngineRecord,
         model: ModelProfile,
         now_s: float,
-    ) -> None:
+    ) -> int | None:
+        """Start to warm a spare; return its epoch, or None if not allowed."""
         loads = int(not is_warm(record, model.name))
         if not self._has_epochs():
-            return
-        if self.loads.may_start(facts, loads, now_s):
-            self.loads.start(loads, now_s)
-            self.warmups.begin(record, model, self._next_epoch(), now_s)
+            return None
+        if not self.loads.may_start(facts, loads, now_s):
+            return None
+        self.loads.start(loads, now_s)
+        epoch = self._next_epoch()
+        self.warmups.begin(record, model, epoch, now_s)
+        return epoch
 
     def _has_epochs(self) -> bool:
         return self._epochs < EPOCHS_PER_TERM
@@ -155,6 +179,27 @@
         return self._term * EPOCHS_PER_TERM + self._epochs
 
 
+def _trial_spare(
+    facts: FormationInput, taken: set[str], model: str
+) -> EngineRecord | None:
+    """Return the spare that a trial costs least: one that holds the model."""
+    spares = [
+        record
+        for records in usable_engines(facts, taken).values()
+        for record in records
+        if not is_loading(facts, record)
+    ]
+    return min(
+        spares,
+        default=None,
+        key=lambda each: (
+            not is_warm(each, model),
+            bool(held_model(facts, each)),
+            each.engine,
+        ),
+    )
+
+
 def _is_prepared(
     facts: FormationInput,
     record: EngineRecord,
