--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -143,6 +143,8 @@
         Requests in flight by model.
     evacuated
         Evacuated zones; a zone is the part of a domain's name before a dash.
+    crashing, crashes
+        Models whose join orders crash engines, and the times of these crashes.
     refusing_connections
         Engines that refuse connections but still work.
     """
@@ -160,6 +162,8 @@
     running: dict[str, float] = attrs.field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     refusing_connections: set[str] = attrs.field(factory=set)
+    crashing: set[str] = attrs.field(factory=set)
+    crashes: list[float] = attrs.field(factory=list)
     _delayed_orders: list[tuple[float, ModelEngine, GroupOrder]] = attrs.field(
         factory=list,
     )
@@ -307,6 +311,12 @@
             self._delayed_orders.append((at_s, engine, task.order))
             planner.record(task, OrderOutcome.UNKNOWN)
             return
+        is_join = task.order.kind is GroupOrderKind.JOIN
+        if is_join and task.order.model in self.crashing:
+            self.crashes.append(self.now_s)
+            self.kill(engine.engine)
+            planner.record(task, OrderOutcome.UNKNOWN)
+            return
         outcome = self._carry_out(engine, task.order)
         if self.random.random() < self.late_share:
             outcome = OrderOutcome.UNKNOWN
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -73,6 +73,8 @@
     evacuated
         Zones whose engines get no new requests. Their replicas are kept, but
         don't count, and their engines are not used for others.
+    suspended
+        Models whose joins are suspended.
     """
 
     service: ServiceProfile
@@ -91,6 +93,7 @@
     priority_model: str = ''
     is_new_daemon: bool = False
     evacuated: frozenset[str] = frozenset()
+    suspended: frozenset[str] = frozenset()
 
     @property
     def models(self) -> Sequence[ModelProfile]:
@@ -105,6 +108,15 @@
         record = self.engines.get(engine) or self.unlisted.get(engine)
         return record is not None and record.availability_zone in self.evacuated
 
+    @property
+    def joinable_models(self) -> Sequence[ModelProfile]:
+        """Return the models whose joins are not suspended."""
+        if not self.suspended:
+            return self.models
+        return [
+            model for model in self.models if model.name not in self.suspended
+        ]
+
     @cached_property
     def domain_sizes(self) -> Mapping[str, int]:
         """Count the engines that are not draining, by fabric domain."""
