--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -14,7 +14,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 from absl import logging
