--- a/tests/evacuation/test_state.py
+++ b/tests/evacuation/test_state.py
@@ -56,6 +56,14 @@
         self._read(9, a=False, b=True, c=True)
         self.assertEqual(self.state.zones, {'b', 'c'})
 
+    def test_rows_written_under_versions_that_fell_are_not_lost(self) -> None:
+        # A store that returns from a copy gives versions out again.
+        self._read(3, is_complete=True)
+        self._read(4, c=True)
+        self.assertEqual(self.state.zones, {'a'})
+        self._read(6)
+        self.assertEqual(self.state.zones, {'c'})
+
     def test_changes_alone_do_not_make_the_set_known(self) -> None:
         state = EvacuationState()
         state.apply_reading(EvacuationReading(5, {'a': True}), 1)
--- a/yuccavalve/evacuation/state.py
+++ b/yuccavalve/evacuation/state.py
@@ -46,24 +46,24 @@
     confirmed_at_s: float = _NEVER_S
     passed_over: int = 0
     on_change: Callable[[], None] = _ignore_change
+    _read_zones: frozenset[str] | None = None
     _logged_unserved: frozenset[str] = frozenset()
 
     def apply_reading(self, reading: EvacuationReading, now_s: float) -> bool:
         """Apply an answer of the store; return whether the set changed.
 
-        Changes are relative to an earlier answer to this daemon, so a daemon
-        that has none yet needs all rows. An answer that is older than what
-        another daemon has reported is left out.
+        Changes are relative to earlier answers to this daemon, so they need
+        all rows first, and are kept apart from what others report. An answer
+        that is older than a report has no effect until its version passes.
         """
-        if not (self.is_known or reading.is_complete):
+        if reading.is_complete:
+            self._read_zones = frozenset()
+        elif self._read_zones is None:
             return False
-        named = {zone for zone, evacuated in reading.zones.items() if evacuated}
-        kept: Collection[str] = ()
-        if not reading.is_complete:
-            kept = self.zones - reading.zones.keys()
-        news = EvacuationNews(
-            reading.version, frozenset(named.union(kept)), now_s
-        )
+        evacuated = {zone for zone, is_set in reading.zones.items() if is_set}
+        unchanged = self._read_zones - reading.zones.keys()
+        self._read_zones = unchanged | evacuated
+        news = EvacuationNews(reading.version, self._read_zones, now_s)
         return self._adopt(news, _FROM_STORE)
 
     def apply_news(self, news: EvacuationNews) -> bool:
