Bound the requests to cold engines over all daemons

Cause: a cold engine that gets more than its bound from all daemons together crashes, and no daemon knows what the others send.

Change: records and answers that announce a warm-up become a limit that ends by itself. The holder of the planner lease grants permits from a sliding window, in which a permit counts until a second after it runs out. Warm engines are preferred while one can take a request in time. Without [bounds] cold_overage nothing changes.

--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -62,11 +62,23 @@
     metrics.labelled_gauges(
         'engine_limit_per_s', ('engine',), lambda: _limits_per_s(node)
     )
+    _add_warmup_gauges(metrics, node)
     metrics.gauge(
         'log_lines_left_out', lambda: node.log_rate_limiter.dropped_total
     )
 
 
+def _add_warmup_gauges(metrics: Metrics, node: GatewayNode) -> None:
+    """Add gauges of cold engines and of the permits for them."""
+    warmups = node.limiter.table.warmups
+    metrics.gauge('engines_cold', lambda: len(_cold_per_s(node)))
+    metrics.gauge('warmups_begun', lambda: warmups.begun)
+    metrics.gauge('permits_granted_cold', lambda: node.grantor.granted_cold)
+    metrics.labelled_gauges(
+        'cold_engine_per_s', ('engine',), lambda: _cold_per_s(node)
+    )
+
+
 def _retries_left(node: GatewayNode) -> dict[tuple[str, ...], int]:
     """Return the retries left in this daemon's part of the budgets."""
     table = node.routing.table
@@ -85,6 +97,11 @@
     }
 
 
+def _cold_per_s(node: GatewayNode) -> dict[tuple[str, ...], float]:
+    cold = node.limiter.table.warmups.in_force(node.clock.now_s())
+    return {(node.engine_name(each.engine),): each.per_s for each in cold}
+
+
 def _routing_age_s(node: GatewayNode) -> float:
     return node.clock.now_s() - node.routing.confirmed_at_s
 
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -47,6 +47,7 @@
     EngineChanges,
     EngineControlPort,
     EngineFeed,
+    EngineRecord,
     RoutingFeed,
 )
 from yuccavalve.quarantine import RequestQuarantine
@@ -57,6 +58,8 @@
 )
 from yuccavalve.routing import RoutingState, RoutingTable
 from yuccavalve.settings import BoundSettings, GatewaySettings
+from yuccavalve.warmup import WarmupChange
+from yuccavalve.warmup.tracker import WarmupTracker
 
 __all__ = ('GatewayNode', 'GatewayPorts', 'build_gateway_node')
 
@@ -114,6 +117,8 @@
         Permits for requests to engines that have named a limit.
     grantor
         Grants these permits while this daemon plans.
+    warmups
+        Records which engines are cold.
     member_rows_read
         Whether the rows of all daemons were read since the start.
     startup
@@ -135,6 +140,7 @@
     hubs: HubRanking
     limiter: RateLimiter
     grantor: PermitGrantor
+    warmups: WarmupTracker
     member_rows_read: bool = False
     startup: StartupKnowledge = attrs.field(factory=StartupKnowledge)
     log_rate_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
@@ -245,6 +251,28 @@
         if change.tightens:
             self.urgent_update.set()
 
+    def record_warmup_change(self, change: WarmupChange) -> None:
+        """Log an engine that became cold or warm, and tell others."""
+        if not change.left_s:
+            logging.info(
+                'event=engine_warm engine=%s', self.engine_name(change.engine)
+            )
+            return
+        logging.info(
+            'event=engine_cold engine=%s per_s=%.1f left_ms=%d source=%s',
+            self.engine_name(change.engine),
+            change.per_s,
+            change.left_s * _MILLI,
+            change.cause,
+        )
+        self.urgent_update.set()
+
+    def record_listed_warmup(
+        self, record: EngineRecord, read_at_s: float, is_start: bool
+    ) -> None:
+        """Record what an engine's record says of its warm-up."""
+        self.warmups.record_listed(record, read_at_s, is_start=is_start)
+
     def engine_name(self, engine: int) -> str:
         """Return the name of an engine by the id of its start."""
         for record in self.view.records():
@@ -270,6 +298,8 @@
         self.settings = attrs.evolve(self.settings, bounds=bounds)
         self.entry_directory.lifetime_s = bounds.entry_lifetime_s
         self.gateway.budgets.update_settings(_budget_settings(bounds))
+        self.warmups.overage = bounds.cold_overage
+        self.warmups.slack = bounds.cold_slack
 
     def update_informed(self) -> None:
         """Mark this daemon as informed once it may take requests."""
@@ -304,6 +334,7 @@
         """Decode a version of the routes and adopt it if it is newer."""
         table = self.ports.decode_routes(document)
         adopted = self.routing.adopt(table, document, source)
+        self.warmups.apply_routes()
         self.update_informed()
         return adopted
 
@@ -374,6 +405,12 @@
         hubs=HubRanking(roster),
         limiter=dispatcher.selector.limiter,
         grantor=PermitGrantor(dispatcher.selector.limiter.table),
+        warmups=WarmupTracker(
+            dispatcher.selector.limiter.table.warmups,
+            lambda: None if routing.table is None else routing.table.services,
+            settings.bounds.cold_overage,
+            settings.bounds.cold_slack,
+        ),
     )
     _connect_limits(node)
     return node
@@ -384,8 +421,15 @@
     limiter = node.limiter
     limiter.daemon_count = node.known_daemons
     limiter.table.on_change = node.record_limit_change
+    limiter.table.warmups.on_change = node.record_warmup_change
+    node.view.on_record = node.record_listed_warmup
     node.ports.notices.sink = EngineNotices(
-        node.view, node.activity, limiter.table, node.clock, node.random
+        node.view,
+        node.activity,
+        limiter.table,
+        node.clock,
+        node.random,
+        node.warmups,
     )
 
 
--- a/yuccavalve/daemon/permit_loop.py
+++ b/yuccavalve/daemon/permit_loop.py
@@ -71,6 +71,7 @@
     async def async_ask(self) -> float:
         """Ask for what is wanted; return when to ask again."""
         asked_at_s = self.clock.now_s()
+        self.grantor.note_term(asked_at_s)
         demands = self.limiter.take_demands(asked_at_s)
         if not demands:
             return 0
@@ -91,7 +92,7 @@
         request = encode_demands(
             hash32(self.member),
             demands,
-            table.known(demand.engine for demand in demands),
+            table.known((demand.engine for demand in demands), asked_at_s),
             asked_at_s,
         )
         addresses = deque(self.planners())
--- a/yuccavalve/fleet/notices.py
+++ b/yuccavalve/fleet/notices.py
@@ -11,6 +11,7 @@
 from yuccavalve.load import requested_backoff
 from yuccavalve.ports.fleet import EngineNotice, EngineRecord, NoticeSink
 from yuccavalve.ratelimit import LimitTable, parse_limit
+from yuccavalve.warmup.tracker import WarmupTracker
 
 __all__ = ('EngineNotices', 'NoticeRelay')
 
@@ -38,9 +39,14 @@
     limits: LimitTable
     clock: Clock
     random: Random
+    warmups: WarmupTracker | None = None
 
     def record(self, engine: EngineRecord, notice: EngineNotice) -> None:
-        """Record that an engine leaves, or asks to be left alone."""
+        """Record that an engine leaves, is cold or asks to be left alone."""
+        if notice.warmup_left_s and self.warmups is not None:
+            self.warmups.record_answer(
+                engine, notice.warmup_left_s, self.clock.now_s()
+            )
         if notice.leaving and self.view.mark_leaving(engine):
             self.activity.record_leaving(engine, self.clock.now_s())
             logging.info(
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -1,6 +1,6 @@
 """One daemon's view of the engine records in the store."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 from absl import logging
@@ -20,6 +20,12 @@
 _MS = 1000
 
 
+def _ignore_record(
+    record: EngineRecord, read_at_s: float, is_start: bool
+) -> None:
+    """Do nothing."""
+
+
 @attrs.define
 class FleetView:
     """Engine records by engine id, kept up to date from the feed.
@@ -38,6 +44,9 @@
     unlisted
         Records of engines that were removed recently and may still run. They
         get no new requests, but their replicas may serve on.
+    on_record
+        Called with each record that is read, the time of reading, and whether
+        the engine has started since the engines were first read.
     withdrawn
         Those of them that withdrew their record. They serve on for some
         seconds, sometimes longer. The records of the others expired.
@@ -49,12 +58,14 @@
     revision: int = 0
     unlisted: dict[str, EngineRecord] = attrs.field(factory=dict)
     withdrawn: set[str] = attrs.field(factory=set)
+    on_record: Callable[[EngineRecord, float, bool], None] = _ignore_record
     _unlisted_at_s: dict[str, float] = attrs.field(factory=dict)
     _renewed_at_s: dict[str, float] = attrs.field(factory=dict)
     _records: dict[str, EngineRecord] = attrs.field(factory=dict)
     _revisions: dict[str, int] = attrs.field(factory=dict)
     _oldest_revision: int = 0
     _missing_since_s: dict[str, float] = attrs.field(factory=dict)
+    _warm_at_s: dict[str, float] = attrs.field(factory=dict)
     _outage_until_s: float = _NEVER_S
     _leaving_born_ms: dict[str, int] = attrs.field(factory=dict)
     _routable: dict[str, tuple[EngineRecord, ...]] = attrs.field(factory=dict)
@@ -167,6 +178,10 @@
         self._record_change(engine)
         return True
 
+    def warmup_left_s(self, engine: str) -> float:
+        """Return how long an engine stayed cold when this view was read."""
+        return max(0, self._warm_at_s.get(engine, 0) - self.read_at_s)
+
     def records(self) -> Iterable[EngineRecord]:
         """Return the records of all engines that are not removed."""
         return self._records.values()
@@ -227,6 +242,10 @@
             return
         if current is not None and record.born_ms < current.born_ms:
             return
+        self.on_record(record, now_s, self._is_start(record))
+        self._warm_at_s.pop(engine, None)
+        if record.warmup_left_s > 0:
+            self._warm_at_s[engine] = now_s + record.warmup_left_s
         record = self._as_told(record)
         self._missing_since_s.pop(engine, None)
         self.forget(engine)
@@ -235,6 +254,15 @@
             self._records[engine] = record
             self._record_change(engine)
 
+    def _is_start(self, record: EngineRecord) -> bool:
+        """Return whether an engine started after the first reading."""
+        if self.read_at_s <= self.first_read_at_s:
+            return False
+        known = self._records.get(record.engine)
+        if known is None:
+            known = self.unlisted.get(record.engine)
+        return known is None or known.born_ms != record.born_ms
+
     def _as_told(self, record: EngineRecord) -> EngineRecord:
         """Return a record with what the engine itself said of leaving."""
         if self._leaving_born_ms.get(record.engine) != record.born_ms:
@@ -277,6 +305,7 @@
     def _remove(self, engine: str, silent_s: float) -> None:
         self._missing_since_s.pop(engine, None)
         self._renewed_at_s.pop(engine, None)
+        self._warm_at_s.pop(engine, None)
         record = self._records.pop(engine, None)
         if record is None:
             return
--- a/yuccavalve/gateway/selection.py
+++ b/yuccavalve/gateway/selection.py
@@ -112,9 +112,10 @@
                 f'none of them sound{_unsound_text(untried, sound)}',
                 self._backoff_s(untried, now_s),
             )
-        allowed = self._allowed(service, sound, now_s)
-        best = self._permitted_or_best(service, allowed, now_s)
         limit_s = self.waits.limit_s(self._queued(service, routed, now_s))
+        usable = self._warm_first(service, routed, sound, limit_s, now_s)
+        allowed = self._allowed(service, usable, now_s)
+        best = self._permitted_or_best(service, allowed, now_s)
         if self.expected_wait_s(service, best, routed) > max(0, limit_s):
             best = self._shortest_queue(service, allowed)
         wait_s = self.expected_wait_s(service, best, routed)
@@ -130,6 +131,42 @@
             )
         return best
 
+    def _warm_first(
+        self,
+        service: ServiceProfile,
+        routed: RoutedRequest,
+        sound: Sequence[EngineRecord],
+        limit_s: float,
+        now_s: float,
+    ) -> Sequence[EngineRecord]:
+        """Return the warm engines if one can take a request in time.
+
+        While these have no free slot, the freest cold engine counts as
+        wanted, so that its permits are there when they are needed.
+        """
+        limiter = self.limiter
+        if not limiter.table.warmups.has_limits:
+            return sound
+        warm = [
+            each
+            for each in sound
+            if not limiter.is_cold(process_hash(each), now_s)
+        ]
+        usable = [
+            each for each in warm if limiter.allows(process_hash(each), now_s)
+        ]
+        if not usable or len(warm) == len(sound):
+            return sound
+        free = self._shortest_queue(service, usable)
+        wait_s = self.expected_wait_s(service, free, routed)
+        if wait_s > max(0, limit_s):
+            return sound
+        if wait_s > 0:
+            cold = [each for each in sound if each not in warm]
+            wanted = self._shortest_queue(service, cold)
+            limiter.want(process_hash(wanted), now_s)
+        return warm
+
     def _allowed(
         self,
         service: ServiceProfile,
@@ -149,6 +186,8 @@
         if len(allowed) == len(sound):
             return allowed
         wanted = self._best(service, sound)
+        if limiter.table.warmups.has_limits:
+            wanted = self._shortest_queue(service, sound)
         if wanted not in allowed:
             limiter.pass_over(process_hash(wanted), now_s)
         if allowed:
@@ -156,7 +195,9 @@
         names = ' '.join(each.engine for each in sound[:MAX_LOGGED_ENGINES])
         raise self._refusal(
             ResultCode.ENGINES_LIMITED,
-            limiter.retry_after_s([process_hash(each) for each in sound]),
+            limiter.retry_after_s(
+                [process_hash(each) for each in sound], now_s
+            ),
             f'no permit for any of {len(sound)} sound engines, '
             f'{LIMITED_PREFIX} {names}',
         )
--- a/yuccavalve/peers/engine_news.py
+++ b/yuccavalve/peers/engine_news.py
@@ -12,6 +12,9 @@
 
 __all__ = ('build_engine_news', 'decode_engine_news')
 
+_MS = 1000
+_MAX_MS = 0xFFFFFFFF
+
 
 def build_engine_news(
     view: FleetView,
@@ -49,7 +52,8 @@
         feed_version=view.version,
     )
     news.engines.extend(
-        _encode_record(engine, record) for engine, record in changed.items()
+        _encode_record(engine, record, view.warmup_left_s(engine))
+        for engine, record in changed.items()
     )
     return news
 
@@ -69,6 +73,7 @@
 def _encode_record(
     engine: str,
     record: EngineRecord | None,
+    warmup_left_s: float,
 ) -> peer_pb2.EngineState:
     if record is None:
         return peer_pb2.EngineState(engine=engine, gone=True)
@@ -83,6 +88,7 @@
         fabric_domain=record.fabric_domain,
         models=record.models,
         staged=sorted(record.staged),
+        warmup_left_ms=min(_MAX_MS, round(warmup_left_s * _MS)),
     )
     membership = record.membership
     if membership is not None:
@@ -114,4 +120,5 @@
         models=tuple(state.models),
         staged=frozenset(state.staged),
         membership=membership,
+        warmup_left_s=state.warmup_left_ms / _MS,
     )
--- a/yuccavalve/peers/limit_news.py
+++ b/yuccavalve/peers/limit_news.py
@@ -14,6 +14,7 @@
     PermitGrantor,
     PermitGrants,
 )
+from yuccavalve.warmup import WarmupLimit
 
 __all__ = (
     'answer_permits',
@@ -29,18 +30,10 @@
 
 
 def encode_limits(
-    limits: Iterable[EngineLimit], now_s: float
+    limits: Iterable[EngineLimit | WarmupLimit], now_s: float
 ) -> list[peer_pb2.EngineLimit]:
     """Return limits as messages, with ages instead of times."""
-    return [
-        peer_pb2.EngineLimit(
-            engine=limit.engine,
-            per_s=limit.per_s,
-            named_age_ms=_age_ms(limit.named_at_s, now_s),
-            unnamed_age_ms=_age_ms(limit.unnamed_at_s, now_s),
-        )
-        for limit in limits
-    ]
+    return [_encode_limit(limit, now_s) for limit in limits]
 
 
 def encode_news(table: LimitTable, now_s: float) -> list[peer_pb2.EngineLimit]:
@@ -50,18 +43,13 @@
 
 def decode_limits(
     messages: Iterable[Any], sent_at_s: float
-) -> list[EngineLimit]:
+) -> list[EngineLimit | WarmupLimit]:
     """Return the limits in messages whose ages count from a local time.
 
     Limits that are not finite or negative are dropped.
     """
     return [
-        EngineLimit(
-            message.engine,
-            message.per_s,
-            _at_s(message, 'named_age_ms', sent_at_s),
-            _at_s(message, 'unnamed_age_ms', sent_at_s),
-        )
+        _decode_limit(message, sent_at_s)
         for message in messages
         if math.isfinite(message.per_s) and message.per_s >= 0
     ]
@@ -98,7 +86,7 @@
     granted = grantor.grant(request.member, demands, now_s)
     if granted is None:
         return peer_pb2.PermitsReply(planner=grantor.holder_address())
-    known = grantor.table.known(demand.engine for demand in demands)
+    known = grantor.table.known((each.engine for each in demands), now_s)
     return peer_pb2.PermitsReply(
         plans=True,
         grants=[
@@ -125,6 +113,35 @@
     return PermitGrants(grants, reply.retry_ms / _MS)
 
 
+def _encode_limit(
+    limit: EngineLimit | WarmupLimit, now_s: float
+) -> peer_pb2.EngineLimit:
+    if isinstance(limit, WarmupLimit):
+        return peer_pb2.EngineLimit(
+            engine=limit.engine,
+            per_s=limit.per_s,
+            warmup_left_ms=max(0, int((limit.ends_at_s - now_s) * _MS)),
+        )
+    return peer_pb2.EngineLimit(
+        engine=limit.engine,
+        per_s=limit.per_s,
+        named_age_ms=_age_ms(limit.named_at_s, now_s),
+        unnamed_age_ms=_age_ms(limit.unnamed_at_s, now_s),
+    )
+
+
+def _decode_limit(message: Any, sent_at_s: float) -> EngineLimit | WarmupLimit:
+    if message.HasField('warmup_left_ms'):
+        ends_at_s = sent_at_s + message.warmup_left_ms / _MS
+        return WarmupLimit(message.engine, message.per_s, ends_at_s)
+    return EngineLimit(
+        message.engine,
+        message.per_s,
+        _at_s(message, 'named_age_ms', sent_at_s),
+        _at_s(message, 'unnamed_age_ms', sent_at_s),
+    )
+
+
 def _age_ms(at_s: float, now_s: float) -> int | None:
     return age_ms(now_s - at_s) if math.isfinite(at_s) else None
 
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -65,6 +65,9 @@
         Models whose weights the engine has in memory.
     staged
         Models whose weights are staged on its host.
+    warmup_left_s
+        Time for which the engine stays cold, when the record was read. It
+        passes with each heartbeat and is left out of comparisons.
     """
 
     engine: str
@@ -78,6 +81,7 @@
     models: tuple[str, ...] = ()
     staged: frozenset[str] = frozenset()
     membership: Membership | None = None
+    warmup_left_s: float = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
@@ -227,12 +231,15 @@
     asked_at_s
         Monotonic time at which the request was sent that the engine itself
         answers; None for other answers, whose silence says nothing.
+    warmup_left_s
+        Time for which the engine stays cold; 0 if it does not say so.
     """
 
     leaving: bool = False
     retry_after: str | None = None
     limit: str | None = None
     asked_at_s: float | None = None
+    warmup_left_s: float = 0
 
 
 class NoticeSink(Protocol):
--- a/yuccavalve/ratelimit/grantor.py
+++ b/yuccavalve/ratelimit/grantor.py
@@ -29,6 +29,8 @@
     PermitGrants,
 )
 from yuccavalve.ratelimit.table import LimitTable
+from yuccavalve.warmup import PermitWindow, WarmupLimit
+from yuccavalve.warmup import const as warmup_const
 
 __all__ = ('PermitGrantor',)
 
@@ -71,14 +73,19 @@
         Returns the peer address of the lease's holder; empty if not known.
     granted
         Permits granted since the start.
+    granted_cold
+        Those of them that were for cold engines.
     """
 
     table: LimitTable
     term: Callable[[], int | None] = _no_term
     holder_address: Callable[[], str] = str
     granted: int = 0
+    granted_cold: int = 0
     _last_term: int | None = None
+    _granting_since_s: float = 0
     _buckets: dict[int, _Bucket] = attrs.field(factory=dict)
+    _windows: dict[int, PermitWindow] = attrs.field(factory=dict)
     _asked_at_s: dict[int, float] = attrs.field(factory=dict)
 
     def grant(
@@ -95,22 +102,29 @@
         now_s
             Monotonic time.
         """
-        if not self._holds_lease():
+        if not self.note_term(now_s):
             return None
         self._record_asker(member, now_s)
         grants = []
         wait_s = MAX_ASK_PERIOD_S
         for demand in demands:
             self.spend(demand.engine, demand.spent, now_s)
+            warmup = self.table.warmups.limit(demand.engine, now_s)
             bucket = self._bucket(demand.engine, now_s)
-            if bucket is None:
-                continue
-            permits = bucket.take(demand.wanted)
-            if permits:
+            if warmup is not None:
+                grant = self._grant_cold(warmup, demand.wanted, bucket, now_s)
+                window = self._window(warmup, now_s)
+                wait_s = min(wait_s, window.wait_s(warmup, now_s))
+            elif bucket is not None:
+                permits = bucket.take(demand.wanted)
                 lifetime_s = _lifetime_s(self._rate_per_s(demand.engine))
-                grants.append(PermitGrant(demand.engine, permits, lifetime_s))
-            missing = max(0, 1 - bucket.level)
-            wait_s = min(wait_s, missing / self._rate_per_s(demand.engine))
+                grant = PermitGrant(demand.engine, permits, lifetime_s)
+                missing = max(0, 1 - bucket.level)
+                wait_s = min(wait_s, missing / self._rate_per_s(demand.engine))
+            else:
+                continue
+            if grant.permits:
+                grants.append(grant)
         self.granted += sum(each.permits for each in grants)
         return PermitGrants(tuple(grants), max(wait_s, self._ask_period_s()))
 
@@ -123,21 +137,63 @@
 
     def allows_check(self, engine: int, now_s: float) -> bool:
         """Return whether a check may be sent, even before requests are."""
-        if not self._holds_lease():
+        if not self.note_term(now_s):
             return True
         bucket = self._bucket(engine, now_s)
         return bucket is None or bucket.level > -1
 
-    def _holds_lease(self) -> bool:
+    def note_term(self, now_s: float) -> bool:
         """Return whether this daemon may grant; a new term begins anew."""
         term = self.term()
         if term is None:
             return False
         if term != self._last_term:
             self._last_term = term
+            self._granting_since_s = now_s
             self._buckets.clear()
+            self._windows.clear()
         return True
 
+    def _grant_cold(
+        self,
+        warmup: WarmupLimit,
+        wanted: int,
+        bucket: _Bucket | None,
+        now_s: float,
+    ) -> PermitGrant:
+        """Return permits within an engine's bound and any limit it names."""
+        lifetime_s = self._cold_lifetime_s()
+        window = self._window(warmup, now_s)
+        if wanted > 0:
+            wanted += window.spares(warmup, now_s)
+        if bucket is not None:
+            wanted = min(wanted, max(0, int(bucket.level)))
+        permits = window.take(warmup, wanted, lifetime_s, now_s)
+        if bucket is not None:
+            bucket.level -= permits
+        self.granted_cold += permits
+        return PermitGrant(warmup.engine, permits, lifetime_s)
+
+    def _window(self, warmup: WarmupLimit, now_s: float) -> PermitWindow:
+        """Return the window of an engine's present warm-up."""
+        window = self._windows.get(warmup.engine)
+        if window is None or window.learned_at_s != warmup.learned_at_s:
+            self._windows = {
+                engine: each
+                for engine, each in self._windows.items()
+                if self.table.warmups.limit(engine, now_s) is not None
+            }
+            window = PermitWindow.begin(warmup, self._granting_since_s)
+            self._windows[warmup.engine] = window
+        return window
+
+    def _cold_lifetime_s(self) -> float:
+        lifetime_s = self._ask_period_s() * warmup_const.LIFETIME_ASK_PERIODS
+        return min(
+            warmup_const.MAX_PERMIT_LIFETIME_S,
+            max(warmup_const.PERMIT_LIFETIME_S, lifetime_s),
+        )
+
     def _bucket(self, engine: int, now_s: float) -> _Bucket | None:
         """Return an engine's bucket, filled; None without a limit."""
         if self.table.per_s(engine) is None:
--- a/yuccavalve/ratelimit/limiter.py
+++ b/yuccavalve/ratelimit/limiter.py
@@ -5,6 +5,7 @@
 set aside for that and never granted.
 """
 
+import math
 from collections import Counter, deque
 from collections.abc import Callable
 from random import Random
@@ -24,6 +25,7 @@
 )
 from yuccavalve.ratelimit.models import Permit, PermitDemand, PermitGrants
 from yuccavalve.ratelimit.table import LimitTable
+from yuccavalve.warmup import const as warmup_const
 
 __all__ = ('RateLimiter',)
 
@@ -57,6 +59,8 @@
         is not known.
     on_want
         Called when a permit is wanted.
+    on_granted
+        Called when permits arrive that may allow waiting requests.
     used
         Requests sent with a permit or from the reserve, by source.
     passed_over
@@ -67,6 +71,7 @@
     table: LimitTable = attrs.field(factory=LimitTable)
     daemon_count: Callable[[], int] = _no_daemons
     on_want: Callable[[], None] = _do_nothing
+    on_granted: Callable[[], None] = _do_nothing
     used: Counter[str] = attrs.field(factory=Counter)
     passed_over: int = 0
     _permits: dict[int, deque[Permit]] = attrs.field(factory=dict)
@@ -77,7 +82,7 @@
 
     def allows(self, engine: int, now_s: float) -> bool:
         """Return whether a request may be sent to an engine now."""
-        if self.table.per_s(engine) is None:
+        if not self.table.is_limited(engine, now_s):
             return True
         if self.has_permit(engine, now_s):
             return True
@@ -88,28 +93,39 @@
         permits = self._permits.get(engine)
         while permits and permits[0].valid_until_s <= now_s:
             permits.popleft()
-        return bool(permits) and self.table.per_s(engine) is not None
+        return bool(permits) and self.table.is_limited(engine, now_s)
+
+    def is_cold(self, engine: int, now_s: float) -> bool:
+        """Return whether an engine is cold."""
+        return self.table.warmups.limit(engine, now_s) is not None
 
     def take(self, engine: int, now_s: float) -> Permit | None:
         """Take a permit; None if the engine has no limit.
 
         Call it only if ``allows`` returned True at the same time.
         """
-        if self.table.per_s(engine) is None:
+        if not self.table.is_limited(engine, now_s):
             return None
+        kind = 'cold_' if self.is_cold(engine, now_s) else ''
         if self.has_permit(engine, now_s):
             self.want(engine, now_s)
-            self.used['permit'] += 1
+            self.used[f'{kind}permit'] += 1
             return self._permits[engine].popleft()
+        if self._reserve_level(engine, now_s) < 1:
+            # The limit has ended since the engine was chosen.
+            return None
         self._reserves[engine].level -= 1
-        self.used['reserve'] += 1
-        return Permit(engine, now_s + PERMIT_LIFETIME_S)
+        self.used[f'{kind}reserve'] += 1
+        lifetime_s = PERMIT_LIFETIME_S
+        if kind:
+            lifetime_s = warmup_const.PERMIT_LIFETIME_S
+        return Permit(engine, now_s + lifetime_s)
 
     def may_send(
         self, engine: int, permit: Permit | None, now_s: float
     ) -> bool:
         """Return whether a request may still be sent after a delay."""
-        if self.table.per_s(engine) is None:
+        if not self.table.is_limited(engine, now_s):
             return True
         return permit is not None and now_s < permit.valid_until_s
 
@@ -131,12 +147,9 @@
             self._spent[engine] += 1
             self.on_want()
 
-    def retry_after_s(self, engines: list[int]) -> float:
+    def retry_after_s(self, engines: list[int], now_s: float) -> float:
         """Return after which time engines at their limits may take more."""
-        total_per_s = sum(
-            max(self.table.per_s(engine) or 0, 1 / TRIAL_PERIOD_S)
-            for engine in engines
-        )
+        total_per_s = sum(self._rate_per_s(engine, now_s) for engine in engines)
         wait_s = 1 / total_per_s if engines else 0
         return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, wait_s))
 
@@ -156,7 +169,7 @@
             held = 0
             if self.has_permit(engine, now_s):
                 held = len(self._permits[engine])
-            wanted = len(self._wanted_at_s.get(engine, ())) - held
+            wanted = self._recent_wants(engine, now_s) - held
             spent = self._spent.pop(engine, 0)
             if wanted > 0 or spent:
                 demands.append(PermitDemand(engine, max(0, wanted), spent))
@@ -170,6 +183,8 @@
             permits = self._permits.setdefault(each.engine, deque())
             permit = Permit(each.engine, asked_at_s + each.lifetime_s)
             permits.extend(permit for _ in range(each.permits))
+        if granted.grants:
+            self.on_granted()
 
     def record_unanswered(
         self, demands: list[PermitDemand], now_s: float
@@ -196,20 +211,51 @@
         if reserve is None:
             reserve = _Reserve(self.random.random(), now_s)
             self._reserves[engine] = reserve
-        per_s = max(self.table.per_s(engine) or 0, 1 / TRIAL_PERIOD_S)
+        per_s = self._rate_per_s(engine, now_s)
         passed_s = max(0, now_s - reserve.filled_at_s)
-        gained = passed_s * per_s * RESERVED_FRACTION / count
-        reserve.level = min(1, reserve.level + gained)
         reserve.filled_at_s = now_s
+        if self.is_cold(engine, now_s):
+            gain_per_s = per_s * warmup_const.RESERVED_FRACTION / count
+            level = reserve.level + passed_s * gain_per_s
+            # What was not used in time is lost: many daemons that have
+            # saved it up could use it within the same second.
+            if level > 1 + gain_per_s * warmup_const.RESERVE_USE_S:
+                level = math.modf(level)[0]
+            reserve.level = level
+        else:
+            gained = passed_s * per_s * RESERVED_FRACTION / count
+            reserve.level = min(1, reserve.level + gained)
         return reserve.level
 
+    def _rate_per_s(self, engine: int, now_s: float) -> float:
+        """Return the lower one of an engine's limit and cold bound."""
+        warmup = self.table.warmups.limit(engine, now_s)
+        limits_per_s = [
+            self.table.per_s(engine),
+            None if warmup is None else warmup.per_s,
+        ]
+        known = [per_s for per_s in limits_per_s if per_s is not None]
+        return max(min(known, default=0), 1 / TRIAL_PERIOD_S)
+
+    def _recent_wants(self, engine: int, now_s: float) -> int:
+        """Return how many permits the latest requests would have used.
+
+        Permits of cold engines run out so soon that older requests say
+        nothing of how many will be used.
+        """
+        times_s = self._wanted_at_s.get(engine, ())
+        if not self.is_cold(engine, now_s):
+            return len(times_s)
+        oldest_s = now_s - warmup_const.WANT_MAX_AGE_S
+        return sum(at_s >= oldest_s for at_s in times_s)
+
     def _forget(self, now_s: float) -> None:
         """Drop demand that is too old and permits that ran out."""
         oldest_s = now_s - WANT_MAX_AGE_S
         for engine, times_s in list(self._wanted_at_s.items()):
             while times_s and times_s[0] < oldest_s:
                 times_s.popleft()
-            if not times_s or self.table.per_s(engine) is None:
+            if not times_s or not self.table.is_limited(engine, now_s):
                 self._wanted_at_s.pop(engine)
         for engine in list(self._permits):
             if not self.has_permit(engine, now_s):
--- a/yuccavalve/ratelimit/table.py
+++ b/yuccavalve/ratelimit/table.py
@@ -11,6 +11,7 @@
     RELAY_S,
 )
 from yuccavalve.ratelimit.models import EngineLimit, LimitChange
+from yuccavalve.warmup import WarmupLimit, WarmupTable
 
 __all__ = ('LimitTable',)
 
@@ -29,10 +30,13 @@
         Time in seconds for which a change goes first in messages.
     on_change
         Called with each limit that begins, changes or ends.
+    warmups
+        Bounds of cold engines, which end by themselves.
     """
 
     relay_s: float = RELAY_S
     on_change: Callable[[LimitChange], None] = _ignore_change
+    warmups: WarmupTable = attrs.field(factory=WarmupTable)
     _limits: dict[int, EngineLimit] = attrs.field(factory=dict)
     _changed_at_s: dict[int, float] = attrs.field(factory=dict)
     _unreadable: set[int] = attrs.field(factory=set)
@@ -45,8 +49,14 @@
 
     @property
     def has_limits(self) -> bool:
-        """Return whether any engine has named a limit recently."""
-        return bool(self._limits)
+        """Return whether any engine has named a limit or was cold recently."""
+        return bool(self._limits) or self.warmups.has_limits
+
+    def is_limited(self, engine: int, now_s: float) -> bool:
+        """Return whether requests to an engine need permits."""
+        if self.per_s(engine) is not None:
+            return True
+        return self.warmups.limit(engine, now_s) is not None
 
     def in_force(self) -> dict[int, float]:
         """Return the limits in force by engine."""
@@ -87,9 +97,14 @@
         if engine in self._limits:
             self.apply((EngineLimit(engine, unnamed_at_s=sent_at_s),), now_s)
 
-    def apply(self, news: Iterable[EngineLimit], now_s: float) -> None:
+    def apply(
+        self, news: Iterable[EngineLimit | WarmupLimit], now_s: float
+    ) -> None:
         """Merge what answers or other daemons tell."""
         for told in news:
+            if isinstance(told, WarmupLimit):
+                self.warmups.apply(told, now_s)
+                continue
             known = self._limits.get(told.engine, EngineLimit(told.engine))
             merged = known.merged(told)
             if now_s - merged.known_at_s > LIMIT_MAX_AGE_S:
@@ -100,7 +115,7 @@
         if len(self._limits) > MAX_LIMITS:
             self._forget_oldest()
 
-    def news(self, now_s: float) -> list[EngineLimit]:
+    def news(self, now_s: float) -> list[EngineLimit | WarmupLimit]:
         """Return limits for a message: changes first, the others in turn."""
         self._expire(now_s)
         changed = [
@@ -113,12 +128,23 @@
         start = self._relayed % max(1, len(others))
         self._relayed = start + room
         in_turn = (others[start:] + others[:start])[:room]
-        return [self._limits[engine] for engine in (*changed, *in_turn)]
+        return [
+            *self.warmups.news(now_s),
+            *(self._limits[engine] for engine in (*changed, *in_turn)),
+        ]
 
-    def known(self, engines: Iterable[int]) -> list[EngineLimit]:
+    def known(
+        self, engines: Iterable[int], now_s: float
+    ) -> list[EngineLimit | WarmupLimit]:
         """Return what is known of some engines."""
+        asked = tuple(engines)
         return [
-            self._limits[engine] for engine in engines if engine in self._limits
+            *self.warmups.known(asked, now_s),
+            *(
+                self._limits[engine]
+                for engine in asked
+                if engine in self._limits
+            ),
         ]
 
     def _record_change(
--- a/yuccavalve/routing/models.py
+++ b/yuccavalve/routing/models.py
@@ -150,12 +150,21 @@
 
 @attrs.frozen
 class ServiceProfile:
-    """A service of engines if ``engine`` is set, else of plain servers."""
+    """A service of engines if ``engine`` is set, else of plain servers.
+
+    Attributes
+    ----------
+    cold_s, cold_per_s
+        How long a server is cold after it starts, and the requests that it
+        then takes in a second; 0 if the service has no such servers.
+    """
 
     name: str
     health_path: str = ''
     max_connections: int = 0
     engine: EngineProfile | None = None
+    cold_s: float = 0
+    cold_per_s: float = 0
 
 
 @attrs.frozen
