Ask for permits of cold engines by what will be used, and test the bound

Cause: daemons asked for one permit per request of the last second, at the pace of all known askers; with 69 daemons before 20 cold engines most of the permits ran out unused.

Change: a permit is wanted for each request that found none and for the expected use in a lifetime.

--- a/tests/gateway/test_limited_selection.py
+++ b/tests/gateway/test_limited_selection.py
@@ -14,11 +14,12 @@
 )
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.gateway.models import InboundRequest, RoutedRequest
-from yuccavalve.gateway.selection import EngineSelector
+from yuccavalve.gateway.selection import EngineSelector, slots
 from yuccavalve.observability.explain import LIMITED_PREFIX
-from yuccavalve.ports.fleet import EngineChanges
+from yuccavalve.ports.fleet import EngineChanges, EngineRecord
 from yuccavalve.ratelimit import PermitGrant, PermitGrants
 from yuccavalve.results import ResultCode, http_status
+from yuccavalve.warmup import WarmupLimit
 
 
 class LimitedSelectionTest(unittest.TestCase):
@@ -77,3 +78,39 @@
         self.assertEqual(http_status(error.code), 503)
         self.assertIn(f'{LIMITED_PREFIX} n1 n2', str(error))
         self.assertGreater(error.retry_after_s, 0)
+
+    def _turn_cold(self, *names: str) -> None:
+        for head in self.heads:
+            if head.engine in names:
+                self.limiter.table.warmups.apply(
+                    WarmupLimit(process_hash(head), 27, 10), 0
+                )
+
+    def _fill(self, head: EngineRecord) -> None:
+        for _ in range(4 * slots(service_profile(), head)):
+            self.activity.begin(EngineRun(engine_key(head), 0, streams=True))
+
+    def test_warm_engine_is_preferred_to_a_cold_one_with_a_permit(
+        self,
+    ) -> None:
+        self._turn_cold('n1')
+        self._grant('n1')
+        self.activity.begin(
+            EngineRun(engine_key(self.heads[1]), 0, streams=True)
+        )
+        self.assertEqual({self._choose() for _ in range(20)}, {'n2'})
+        self.assertEqual(self.limiter.take_demands(1), [])
+
+    def test_cold_engine_takes_what_warm_ones_cannot_take_in_time(
+        self,
+    ) -> None:
+        self._turn_cold('n1')
+        self._fill(self.heads[1])
+        with self.assertRaises(RequestRefusedError):
+            self._choose()
+        demands = self.limiter.take_demands(1)
+        self.assertEqual(
+            [each.engine for each in demands], [process_hash(self.heads[0])]
+        )
+        self._grant('n1')
+        self.assertEqual(self._choose(), 'n1')
--- a/tests/peers/test_engine_news.py
+++ b/tests/peers/test_engine_news.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.peers.engine_news import build_engine_news, decode_engine_news
 from yuccavalve.peers.generated import peer_pb2
@@ -54,6 +56,13 @@
         self.assertEqual(self.follower.engine('i-1'), _HEAD)
         self.assertEqual(self.follower.engine('p-1'), _PLAIN)
 
+    def test_warmup_is_told_as_of_the_last_reading(self) -> None:
+        cold = attrs.evolve(_PLAIN, warmup_left_s=3)
+        self.hub.apply(EngineChanges(11, {'p-1': cold}), 101)
+        self.hub.apply(EngineChanges(12, {}), 102)
+        self._follow(102.1)
+        self.assertEqual(self.follower.warmup_left_s('p-1'), 2)
+
     def test_later_news_holds_only_changes(self) -> None:
         self._follow()
         self.assertEqual(len(self._follow().engines), 0)
--- a/tests/peers/test_limit_news.py
+++ b/tests/peers/test_limit_news.py
@@ -20,6 +20,7 @@
     PermitGrantor,
 )
 from yuccavalve.ratelimit.const import MAX_NEWS
+from yuccavalve.warmup import WarmupLimit
 
 _DAEMONS = 88
 _STABLE_S = 3.0
@@ -44,6 +45,18 @@
             decode_limits(encode_limits([limit], 101), 201)[0].in_force
         )
 
+    def test_warmups_are_sent_beside_named_limits(self) -> None:
+        table = LimitTable()
+        table.record_named(ENGINE, 1.5, 100)
+        table.warmups.apply(WarmupLimit(ENGINE, 27.5, 103), 100)
+        other = LimitTable()
+        messages = encode_limits(table.news(101), 101)
+        other.apply(decode_limits(messages, 201), 201)
+        self.assertEqual(other.per_s(ENGINE), 1.5)
+        warmup = other.warmups.limit(ENGINE, 201)
+        self.assertEqual(warmup.per_s, 27.5)
+        self.assertAlmostEqual(warmup.ends_at_s, 203, places=2)
+
     def test_numbers_that_are_no_limits_are_dropped(self) -> None:
         messages = [
             peer_pb2.EngineLimit(engine=ENGINE, per_s=per_s, named_age_ms=1)
--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -212,6 +212,10 @@
         requests; empty to refuse none.
     omits_request_id
         Answers carry no request id, as if made for another request.
+    cold_until_s
+        Monotonic time until which its record says that it is cold.
+    requests_s
+        Monotonic times of the requests that began to run.
     runs
         Ids of the requests that began to run, in order.
     all_runs
@@ -253,6 +257,8 @@
         self.repeats_answers = False
         self.says_leaving = False
         self.limit = ''
+        self.cold_until_s = 0.0
+        self.requests_s: list[float] = []
         self.arrivals_s: list[float] = []
         self.retry_after = ''
         self.omits_request_id = False
@@ -294,6 +300,10 @@
             notices['Server-Limit'] = self.limit
         return notices
 
+    def cold_left_ms(self) -> int:
+        """Return how long the engine stays cold."""
+        return max(0, int((self.cold_until_s - time.monotonic()) * _MS))
+
     def store_record(self, sequence: int) -> dict[str, Any]:
         """Return the engine's record as the store holds it."""
         options = self.options
@@ -304,7 +314,7 @@
             'version': 'v1',
             'slots': options.slots,
             'state': 'draining' if self.draining else 'ready',
-            'cold_left_ms': 0,
+            'cold_left_ms': self.cold_left_ms(),
             'born': self.born_ms,
             'seq': sequence,
         }
@@ -475,6 +485,7 @@
             'Response-Signature': f'{request_id}.{self.options.engine}',
         }
         self.runs.append(request_id)
+        self.requests_s.append(time.monotonic())
         self.all_runs.append(request_id)
         self._check_never_ready(request_id)
         if self.omits_request_id:
--- a/tests/platform/standin/fleet.py
+++ b/tests/platform/standin/fleet.py
@@ -165,6 +165,8 @@
             await self._async_expire(name, engine, heartbeat_due=heartbeat_due)
             return
         entry = engine.store_record(0)
+        # The time left passes with each heartbeat.
+        entry['cold_left_ms'] = bool(entry['cold_left_ms'])
         if entry != self._published.get(name) or heartbeat_due:
             self._published[name] = entry
             self._sequence += 1
--- /dev/null
+++ b/tests/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bound on requests to cold engines."""
--- a/yuccavalve/ratelimit/grantor.py
+++ b/yuccavalve/ratelimit/grantor.py
@@ -6,6 +6,7 @@
 the previous planner.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -87,6 +88,7 @@
     _buckets: dict[int, _Bucket] = attrs.field(factory=dict)
     _windows: dict[int, PermitWindow] = attrs.field(factory=dict)
     _asked_at_s: dict[int, float] = attrs.field(factory=dict)
+    _recent_asks_s: deque[float] = attrs.field(factory=deque)
 
     def grant(
         self, member: int, demands: Iterable[PermitDemand], now_s: float
@@ -106,27 +108,23 @@
             return None
         self._record_asker(member, now_s)
         grants = []
-        wait_s = MAX_ASK_PERIOD_S
+        waits_s = []
         for demand in demands:
             self.spend(demand.engine, demand.spent, now_s)
             warmup = self.table.warmups.limit(demand.engine, now_s)
             bucket = self._bucket(demand.engine, now_s)
             if warmup is not None:
                 grant = self._grant_cold(warmup, demand.wanted, bucket, now_s)
-                window = self._window(warmup, now_s)
-                wait_s = min(wait_s, window.wait_s(warmup, now_s))
             elif bucket is not None:
-                permits = bucket.take(demand.wanted)
-                lifetime_s = _lifetime_s(self._rate_per_s(demand.engine))
-                grant = PermitGrant(demand.engine, permits, lifetime_s)
-                missing = max(0, 1 - bucket.level)
-                wait_s = min(wait_s, missing / self._rate_per_s(demand.engine))
+                grant = self._grant_named(demand, bucket)
             else:
                 continue
             if grant.permits:
                 grants.append(grant)
+            waits_s.append(self._wait_s(warmup, bucket, grant, now_s))
         self.granted += sum(each.permits for each in grants)
-        return PermitGrants(tuple(grants), max(wait_s, self._ask_period_s()))
+        retry_s = min(waits_s, default=self._ask_period_s())
+        return PermitGrants(tuple(grants), min(MAX_ASK_PERIOD_S, retry_s))
 
     def spend(self, engine: int, count: int, now_s: float) -> None:
         """Record calls that were made without a permit."""
@@ -154,6 +152,30 @@
             self._windows.clear()
         return True
 
+    def _grant_named(
+        self, demand: PermitDemand, bucket: _Bucket
+    ) -> PermitGrant:
+        """Return permits within the limit that an engine names."""
+        permits = bucket.take(demand.wanted)
+        lifetime_s = _lifetime_s(self._rate_per_s(demand.engine))
+        return PermitGrant(demand.engine, permits, lifetime_s)
+
+    def _wait_s(
+        self,
+        warmup: WarmupLimit | None,
+        bucket: _Bucket | None,
+        grant: PermitGrant,
+        now_s: float,
+    ) -> float:
+        """Return the time after which asking for an engine makes sense."""
+        if warmup is not None:
+            free_s = self._window(warmup, now_s).wait_s(warmup, now_s)
+            # Other cold engines may be wanted meanwhile.
+            return max(min(free_s, ASK_PERIOD_S), self._cold_ask_period_s())
+        missing = 0 if bucket is None else max(0, 1 - bucket.level)
+        wait_s = missing / self._rate_per_s(grant.engine)
+        return max(wait_s, self._ask_period_s())
+
     def _grant_cold(
         self,
         warmup: WarmupLimit,
@@ -188,12 +210,25 @@
         return window
 
     def _cold_lifetime_s(self) -> float:
-        lifetime_s = self._ask_period_s() * warmup_const.LIFETIME_ASK_PERIODS
+        period_s = self._cold_ask_period_s()
         return min(
             warmup_const.MAX_PERMIT_LIFETIME_S,
-            max(warmup_const.PERMIT_LIFETIME_S, lifetime_s),
+            max(
+                warmup_const.PERMIT_LIFETIME_S,
+                period_s * warmup_const.LIFETIME_ASK_PERIODS,
+            ),
         )
 
+    def _cold_ask_period_s(self) -> float:
+        """Return the time after which to ask again for a cold engine.
+
+        Daemons that ask seldom are not told to ask later while the planner
+        has fewer calls than it can answer.
+        """
+        if len(self._recent_asks_s) < ASKS_PER_S:
+            return warmup_const.ASK_PERIOD_S
+        return self._ask_period_s()
+
     def _bucket(self, engine: int, now_s: float) -> _Bucket | None:
         """Return an engine's bucket, filled; None without a limit."""
         if self.table.per_s(engine) is None:
@@ -209,6 +244,9 @@
 
     def _record_asker(self, member: int, now_s: float) -> None:
         self._asked_at_s[member] = now_s
+        self._recent_asks_s.append(now_s)
+        while now_s - self._recent_asks_s[0] > 1:
+            self._recent_asks_s.popleft()
         self._asked_at_s = {
             each: at_s
             for each, at_s in self._asked_at_s.items()
--- a/yuccavalve/ratelimit/limiter.py
+++ b/yuccavalve/ratelimit/limiter.py
@@ -76,6 +76,7 @@
     passed_over: int = 0
     _permits: dict[int, deque[Permit]] = attrs.field(factory=dict)
     _wanted_at_s: dict[int, deque[float]] = attrs.field(factory=dict)
+    _cold_used_at_s: dict[int, deque[float]] = attrs.field(factory=dict)
     _spent: Counter[int] = attrs.field(factory=Counter)
     _reserves: dict[int, _Reserve] = attrs.field(factory=dict)
     _unanswered_since_s: float | None = None
@@ -108,7 +109,10 @@
             return None
         kind = 'cold_' if self.is_cold(engine, now_s) else ''
         if self.has_permit(engine, now_s):
-            self.want(engine, now_s)
+            if kind:
+                self._record_cold_use(engine, now_s)
+            else:
+                self.want(engine, now_s)
             self.used[f'{kind}permit'] += 1
             return self._permits[engine].popleft()
         if self._reserve_level(engine, now_s) < 1:
@@ -164,8 +168,10 @@
     def take_demands(self, now_s: float) -> list[PermitDemand]:
         """Return the demand for which to ask now; calls spent count once."""
         self._forget(now_s)
+        self._forget_cold_uses(now_s)
         demands = []
-        for engine in self._wanted_at_s.keys() | self._spent.keys():
+        engines = self._wanted_at_s.keys() | self._spent.keys()
+        for engine in engines | self._cold_used_at_s.keys():
             held = 0
             if self.has_permit(engine, now_s):
                 held = len(self._permits[engine])
@@ -183,6 +189,8 @@
             permits = self._permits.setdefault(each.engine, deque())
             permit = Permit(each.engine, asked_at_s + each.lifetime_s)
             permits.extend(permit for _ in range(each.permits))
+            if self.is_cold(each.engine, asked_at_s):
+                self._drop_wants(each.engine, each.permits)
         if granted.grants:
             self.on_granted()
 
@@ -240,14 +248,41 @@
     def _recent_wants(self, engine: int, now_s: float) -> int:
         """Return how many permits the latest requests would have used.
 
-        Permits of cold engines run out so soon that older requests say
-        nothing of how many will be used.
+        Permits of cold engines run out soon and count until a second later,
+        so only those are wanted that are likely to be used: one for each
+        request that found none, and the expected use in a lifetime.
         """
         times_s = self._wanted_at_s.get(engine, ())
         if not self.is_cold(engine, now_s):
             return len(times_s)
         oldest_s = now_s - warmup_const.WANT_MAX_AGE_S
-        return sum(at_s >= oldest_s for at_s in times_s)
+        used = len(self._cold_used_at_s.get(engine, ()))
+        lifetimes = warmup_const.PERMIT_LIFETIME_S / warmup_const.USE_MAX_AGE_S
+        return sum(at_s >= oldest_s for at_s in times_s) + round(
+            used * lifetimes
+        )
+
+    def _record_cold_use(self, engine: int, now_s: float) -> None:
+        used_at_s = self._cold_used_at_s.setdefault(
+            engine, deque(maxlen=MAX_WANTED)
+        )
+        used_at_s.append(now_s)
+        if len(self._permits[engine]) <= 1:
+            self.on_want()
+
+    def _drop_wants(self, engine: int, granted: int) -> None:
+        """Drop the demand for which permits were granted."""
+        times_s = self._wanted_at_s.get(engine)
+        for _ in range(min(granted, len(times_s or ()))):
+            times_s.popleft()
+
+    def _forget_cold_uses(self, now_s: float) -> None:
+        oldest_s = now_s - warmup_const.USE_MAX_AGE_S
+        for engine, used_at_s in list(self._cold_used_at_s.items()):
+            while used_at_s and used_at_s[0] < oldest_s:
+                used_at_s.popleft()
+            if not used_at_s or not self.is_cold(engine, now_s):
+                self._cold_used_at_s.pop(engine)
 
     def _forget(self, now_s: float) -> None:
         """Drop demand that is too old and permits that ran out."""
--- a/yuccavalve/warmup/const.py
+++ b/yuccavalve/warmup/const.py
@@ -20,8 +20,13 @@
 PERMIT_LIFETIME_S: Final = 0.3
 MAX_PERMIT_LIFETIME_S: Final = 0.6
 LIFETIME_ASK_PERIODS: Final = 1.2
-# For how long a request that would have used a cold engine counts as demand.
+# For how long a request that would have used a cold engine counts as demand
+# until a permit is granted for it, and the time from whose use of permits the
+# use in a lifetime is predicted.
 WANT_MAX_AGE_S: Final = 0.5
+USE_MAX_AGE_S: Final = 1.0
+# Shortest time between two requests of a daemon for permits of cold engines.
+ASK_PERIOD_S: Final = 0.1
 # Permits beyond the demand, for a burst, while half of the bound is free.
 SPARE_PERMITS: Final = 2
 FREE_FRACTION: Final = 0.5
