--- a/yuccavalve/warmup/const.py
+++ b/yuccavalve/warmup/const.py
@@ -32,8 +32,9 @@
 FREE_FRACTION: Final = 0.5
 
 # Time in which all daemons learn that an engine has become cold; no permits
-# are granted for that long. Daemons send the news at once, over two hops.
-LEARN_S: Final = 0.25
+# are granted for that long. The news goes to a hub at once, and from there to
+# its followers with their next exchange, after 0.375 s at most.
+LEARN_S: Final = 0.4
 # Announcements of one warm-up differ by messages' delays. One that ends no
 # more than this later is taken as the same, so that daemons that tell each
 # other don't extend it in turn.
