--- a/yuccavalve/evacuation/state.py
+++ b/yuccavalve/evacuation/state.py
@@ -62,7 +62,7 @@
             return False
         evacuated = {zone for zone, is_set in reading.zones.items() if is_set}
         unchanged = self._read_zones - reading.zones.keys()
-        self._read_zones = unchanged | evacuated
+        self._read_zones = frozenset(unchanged | evacuated)
         news = EvacuationNews(reading.version, self._read_zones, now_s)
         return self._adopt(news, _FROM_STORE)
 
