Share the model of named limits with that of cold engines, and test decoding

Cause: the model of cold engines repeated most of the other model, and the platform's fields for cold engines had no test of unreadable values.

Tests guard against an unreadable time left that hides an engine or makes it cold.

--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -75,6 +75,13 @@
         self.assertIsNone(decode_notice(200, {}).asked_at_s)
         self.assertEqual(decode_notice(200, {}, 7).asked_at_s, 7)
 
+    def test_unreadable_time_left_does_not_make_an_engine_cold(self) -> None:
+        for text, left_s in ((b'1500', 1.5), (b'0', 0), (b'-1', 0), (b'x', 0)):
+            notice = decode_notice(200, {b'cold-ms': text})
+            self.assertEqual(notice.warmup_left_s, left_s)
+        misdirected = decode_notice(421, {b'cold-ms': b'1500'})
+        self.assertEqual(misdirected.warmup_left_s, 0)
+
 
 class EngineTest(unittest.TestCase):
     """Decoding of engine records."""
@@ -88,6 +95,11 @@
             Membership('r1', 3, 0, MemberState.OPEN),
         )
 
+    def test_unreadable_time_left_does_not_hide_an_engine(self) -> None:
+        for left_ms, left_s in ((1500, 1.5), (None, 0), ('x', 0), (-1, 0)):
+            record = decode_engine('i-1', {**_ENTRY, 'cold_left_ms': left_ms})
+            self.assertEqual(record.warmup_left_s, left_s)
+
     def test_fields_of_wrong_type_are_rejected(self) -> None:
         broken = (
             {'address': 'nowhere'},
--- a/tests/warmup/test_bound.py
+++ b/tests/warmup/test_bound.py
@@ -17,7 +17,7 @@
         model.run(1)
         model.turn_cold(30)
         model.run(2)
-        model.arrivals_s.clear()
+        model.taken_s.clear()
         self.since_s = model.clock.now_s()
         return model
 
@@ -43,7 +43,7 @@
     def test_engine_that_has_just_started_is_used_at_once(self) -> None:
         model = WarmupModel.of(7, 60, waits_s=0.5)
         model.run(3)
-        model.arrivals_s.clear()
+        model.taken_s.clear()
         self.since_s = model.clock.now_s()
         model.turn_cold(3, start=True)
         model.run(0.9)
