Decide when a daemon reaches no engine, and tell the others

A daemon that is cut off from the engines took its failures for those of the engines, and callers kept being sent to it.

Strikes are dropped while partitioned, and failed connections are told only once a later one has succeeded.

--- a/yuccavalve/daemon/entry_directory.py
+++ b/yuccavalve/daemon/entry_directory.py
@@ -34,7 +34,8 @@
         """Return addresses of daemons for callers of an availability zone.
 
         Only daemons of that zone are returned if there are any, since
-        traffic between zones is slower and more expensive.
+        traffic between zones is slower and more expensive. Daemons that reach
+        no engine are left out while there are others.
         """
         excluded = self.share_state.uninformed()
         if self.stop.stopping:
@@ -44,6 +45,9 @@
             for member in self.roster.entries(self.clock.now_s())
             if member.member not in excluded
         ]
+        unreaching = self.share_state.engines_unreachable_at()
+        reaching = [each for each in members if each.member not in unreaching]
+        members = reaching or members
         same_zone = [
             member
             for member in members
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -1,5 +1,6 @@
 """Track requests in flight by engine, and detect stalled engines."""
 
+import math
 from collections.abc import Callable, Iterator, Mapping
 from functools import lru_cache
 
@@ -51,6 +52,10 @@
     return hash32(key)
 
 
+def _always_s() -> float:
+    return math.inf
+
+
 def _do_nothing() -> None:
     """Do nothing; the exchange has not begun."""
 
@@ -123,6 +128,8 @@
         Number of stalls and failed connections since the last progress.
     last_strike_at_s
         Monotonic time of the last strike.
+    unreached_at_s
+        Monotonic time of the last failed connection.
     """
 
     runs: set[EngineRun] = attrs.field(factory=set)
@@ -130,6 +137,7 @@
     suspect_until_s: float = _NEVER_S
     strikes: int = 0
     last_strike_at_s: float = _NEVER_S
+    unreached_at_s: float = _NEVER_S
 
 
 @attrs.define
@@ -147,11 +155,18 @@
     remote_leaving
         Engines that have told another daemon that they are about to stop, by
         ``engine_key_hash``.
+    partitioned
+        Whether this daemon reaches no engine; failures are no evidence then.
+    certain_until_s
+        Returns the monotonic time of the newest failed connection that can't
+        be due to a partition of this daemon; later ones are not told yet.
     """
 
     remote_runs: Mapping[int, int] = attrs.field(factory=dict)
     remote_strikes: Mapping[int, int] = attrs.field(factory=dict)
     remote_leaving: frozenset[int] = frozenset()
+    partitioned: bool = False
+    certain_until_s: Callable[[], float] = _always_s
     _engines: dict[str, EngineActivity] = attrs.field(factory=dict)
     _backoff_until_s: dict[str, float] = attrs.field(factory=dict)
     _leaving_at_s: dict[str, float] = attrs.field(factory=dict)
@@ -176,6 +191,13 @@
         activity.strikes = 0
         activity.suspect_until_s = _NEVER_S
 
+    def record_partition(self, partitioned: bool) -> None:
+        """Drop strikes and suspicions as a partition begins or ends."""
+        self.partitioned = partitioned
+        for activity in self._engines.values():
+            activity.strikes = 0
+            activity.suspect_until_s = _NEVER_S
+
     def avoid(self, key: str, until_s: float) -> None:
         """Suspect an engine until a given time or its next progress."""
         activity = self._engines.setdefault(key, EngineActivity())
@@ -225,7 +247,8 @@
         ):
             return
         activity = self._strike(key, now_s)
-        doublings = min(activity.strikes - 1, MAX_UNREACHED_DOUBLINGS)
+        activity.unreached_at_s = now_s
+        doublings = min(max(0, activity.strikes - 1), MAX_UNREACHED_DOUBLINGS)
         self.avoid(key, now_s + UNREACHED_AVOID_S * 2**doublings)
 
     def is_suspect(self, key: str, now_s: float) -> bool:
@@ -266,15 +289,19 @@
 
     def strikes(self, now_s: float) -> dict[str, int]:
         """Return consecutive strikes by engine key, if the last is recent."""
+        certain_until_s = self.certain_until_s()
         return {
             key: activity.strikes
             for key, activity in self._engines.items()
             if activity.strikes
+            and activity.unreached_at_s <= certain_until_s
             and now_s - activity.last_strike_at_s < STRIKE_MAX_AGE_S
         }
 
     def _strike(self, key: str, now_s: float) -> EngineActivity:
         activity = self._engines.setdefault(key, EngineActivity())
+        if self.partitioned:
+            return activity
         activity.strikes += 1
         activity.last_strike_at_s = now_s
         return activity
@@ -303,6 +330,14 @@
             self.avoid(key, now_s + STALL_AVOID_S)
             yield key, stream_runs
 
+    def silent(self, now_s: float, silent_s: float) -> list[str]:
+        """Return the keys of engines whose streams had no event for a time."""
+        return [
+            key
+            for key, activity in self._engines.items()
+            if now_s - _last_sign_s(activity) >= silent_s
+        ]
+
     def beginning(self, now_s: float) -> Iterator[EngineRun]:
         """Yield the runs whose answer has not begun or has just begun."""
         for activity in self._engines.values():
@@ -347,6 +382,18 @@
     return engine_key_hash(process_key(engine_key(record)))
 
 
+def _last_sign_s(activity: EngineActivity) -> float:
+    """Return since when streams may be silent; infinity without streams."""
+    starts_s = [
+        run.sent_at_s + run.expected_wait_s
+        for run in activity.runs
+        if run.streams
+    ]
+    if not starts_s:
+        return math.inf
+    return max(activity.last_progress_at_s, min(starts_s))
+
+
 def _stall_timeout_s(runs: list[EngineRun]) -> float:
     """Return the time without events after which an engine has stalled.
 
--- a/yuccavalve/peers/cells.py
+++ b/yuccavalve/peers/cells.py
@@ -119,6 +119,8 @@
             )
         if entry.uninformed:
             digest.uninformed.append(member_hash)
+        if entry.engines_unreachable:
+            digest.engines_unreachable.append(member_hash)
         if entry.routing_version > digest.routing_version:
             digest.routing_version = entry.routing_version
             digest.routing_address = entry.member.peer_address
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -106,6 +106,8 @@
         Version of the lease row that this daemon held and gave up.
     informed
         Whether this daemon has read routes and engines.
+    engines_unreachable
+        Whether this daemon reaches no engine.
     follows
         Whether this daemon follows a hub, whose digest includes its entry.
     unknown_daemons
@@ -127,6 +129,7 @@
     started: bool = False
     yielded_lease: int = 0
     informed: bool = False
+    engines_unreachable: bool = False
     follows: bool = False
     unknown_daemons: bool = False
     exchanges: ExchangeTimes = attrs.field(factory=ExchangeTimes)
@@ -215,7 +218,8 @@
 
         New strikes are urgent: the sooner the planner receives them, the
         sooner it repairs a stalled replica. So is new evidence on parts of
-        prompts that crash engines.
+        prompts that crash engines, and that a daemon reaches no engine or
+        reaches them again.
 
         Parameters
         ----------
@@ -289,6 +293,29 @@
         members.discard(local_id)
         return members if self.informed else members | {local_id}
 
+    def engines_unreachable_at(self) -> set[str]:
+        """Return the ids of daemons that reach no engine."""
+        now_s = self.clock.now_s()
+        members = {
+            str(daemon_update.entry.member.member)
+            for daemon_update in self._fresh_updates(now_s)
+            if daemon_update.entry.engines_unreachable
+        }
+        by_hash32 = self.roster.index().by_hash32
+        for cell in self._fresh_cells(now_s):
+            known = by_hash32.keys() & set(cell.digest.engines_unreachable)
+            members.update(
+                by_hash32[member_hash].member for member_hash in known
+            )
+        local_id = self.roster.local_member.member
+        members.discard(local_id)
+        return members | {local_id} if self.engines_unreachable else members
+
+    def record_reach(self, *, engines_unreachable: bool) -> None:
+        """Record whether this daemon reaches no engine."""
+        self.engines_unreachable = engines_unreachable
+        self._local_cell = None
+
     def newest_routing(self) -> tuple[int, str]:
         """Return the newest routing version and the address that has it."""
         best = (0, '')
@@ -422,6 +449,7 @@
             started=self.started,
             yielded_lease=self.yielded_lease,
             uninformed=not self.informed,
+            engines_unreachable=self.engines_unreachable,
         )
         if with_loads:
             entry.loads.extend(self._local_loads())
@@ -498,6 +526,11 @@
         if previous is not None and entry.sequence <= previous.entry.sequence:
             return False
         self._updates[name] = DaemonUpdate(entry, at_s)
+        was_unreachable = (
+            previous is not None and previous.entry.engines_unreachable
+        )
+        if entry.engines_unreachable != was_unreachable:
+            return True
         earlier = () if previous is None else previous.entry.loads
         return _has_more_strikes(entry.loads, earlier)
 
@@ -517,6 +550,11 @@
             elif member != self.roster.local_member:
                 self.roster.record_seen(member.member, at_s - age_s)
                 self.roster.replace_earlier(member)
+        were_unreachable = (
+            () if previous is None else previous.digest.engines_unreachable
+        )
+        if set(digest.engines_unreachable) != set(were_unreachable):
+            return True
         earlier = () if previous is None else previous.digest.loads
         return _has_more_strikes(digest.loads, earlier)
 
