Have neighbors answer the requests of a partitioned daemon

While a daemon reaches no engine its requests failed although other daemons reach engines.

The dispatcher passes such requests, and those whose attempts fail as the partition begins, to a daemon at its relay address over HTTP/1.1, with the caller's fields and the remaining time. Streams are resumed there, refusals pass unchanged, and the mark that ends relaying is set by the listener. A loop probes engines after failures, at most 4 times a second. A partitioned planner yields its lease. Off without a relay address.

--- a/yuccavalve/daemon/engine_prober.py
+++ b/yuccavalve/daemon/engine_prober.py
@@ -1,7 +1,7 @@
 """Probe engines that may be dead, and record those that are dead or slow."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 from absl import logging
@@ -28,6 +28,11 @@
 _MS = 1000
 
 
+def _reaches_engines() -> bool:
+    """Return False, for a daemon that doesn't look for partitions."""
+    return False
+
+
 @attrs.frozen
 class _DeadEngine:
     """An engine process that did not answer.
@@ -54,6 +59,9 @@
         Set when an engine is found dead.
     unanswered
         Engines that left an order or a probe unanswered.
+    is_doubtful_reach
+        Returns whether this daemon may reach no engine at all; failures are
+        no evidence then.
     """
 
     orders: EngineControlPort
@@ -62,6 +70,7 @@
     loop_delay: LoopDelay
     changed: asyncio.Event
     unanswered: set[str] = attrs.field(factory=set)
+    is_doubtful_reach: Callable[[], bool] = _reaches_engines
     _dead: dict[str, _DeadEngine] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
     _probed_at_s: dict[str, float] = attrs.field(factory=dict)
@@ -128,7 +137,8 @@
             self._dead.pop(record.engine, None)
             self._record_slowness(record.engine, report.slowness, now_s)
             return
-        if self.loop_delay.was_delayed_since(sent_at_s):
+        was_delayed = self.loop_delay.was_delayed_since(sent_at_s)
+        if was_delayed or self.is_doubtful_reach():
             logging.info(
                 'event=probe_inconclusive engine=%s took_ms=%d',
                 record.engine,
@@ -141,6 +151,9 @@
 
     def record_dead(self, record: EngineRecord, cause: str) -> None:
         """Record an engine that does not answer, for ``DEAD_ENGINE_S``."""
+        if self.is_doubtful_reach():
+            self.unanswered.add(record.engine)
+            return
         if record.engine not in self._dead:
             logging.warning(
                 'event=engine_unresponsive engine=%s cause=%r',
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -68,6 +68,7 @@
             node.clock,
             node.loop_delay,
             node.engines_changed,
+            is_doubtful_reach=lambda: node.reach.doubtful,
         )
 
     async def async_run(self) -> None:
@@ -92,6 +93,8 @@
         condition = self.lease.lease.term_condition
         if table is None or condition is None or not self.lease.is_held():
             return
+        if self.node.reach.partitioned:
+            return
         if self._term != condition.version:
             self._term = condition.version or 0
             self._planners.clear()
--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -11,15 +11,21 @@
     add_limit_gauges,
     add_quarantine_gauges,
 )
+from yuccavalve.relay.entry import RelayEntry
 
 __all__ = ('metrics_application',)
 
 
-def metrics_application(node: GatewayNode) -> Starlette:
+def metrics_application(
+    node: GatewayNode, relay_entry: RelayEntry | None = None
+) -> Starlette:
     """Return the application that serves a daemon's metrics as text."""
     metrics = node.gateway.metrics
     _add_view_gauges(metrics, node)
     _add_daemon_gauges(metrics, node)
+    _add_relay_gauges(metrics, node)
+    if relay_entry is not None:
+        _add_relay_entry_gauges(metrics, relay_entry)
     metrics.labelled_counters(
         'store_calls',
         ('duty', 'outcome'),
@@ -67,6 +73,33 @@
     )
 
 
+def _add_relay_entry_gauges(metrics: Metrics, entry: RelayEntry) -> None:
+    """Add gauges of the requests that other daemons relay."""
+    metrics.gauge('relay_entry_running', lambda: entry.bounds.count)
+    metrics.gauge('relay_entry_total', lambda: entry.received_total)
+    metrics.gauge('relay_entry_refused', lambda: entry.bounds.refused_total)
+
+
+def _add_relay_gauges(metrics: Metrics, node: GatewayNode) -> None:
+    """Add gauges of partitions from engines and of relayed requests."""
+    sender = node.relay_sender
+    metrics.gauge('engines_unreachable', lambda: int(node.reach.partitioned))
+    metrics.gauge(
+        'daemons_engines_unreachable',
+        lambda: len(node.share_state.engines_unreachable_at()),
+    )
+    metrics.gauge(
+        'partition_evidence_dropped', lambda: node.reach.dropped_total
+    )
+    if sender is None:
+        return
+    metrics.gauge('relay_running', lambda: sender.bounds.count)
+    metrics.gauge('relay_refused', lambda: sender.bounds.refused_total)
+    metrics.labelled_counters(
+        'relay_attempts', ('outcome',), lambda: sender.outcomes
+    )
+
+
 def _retries_left(node: GatewayNode) -> dict[tuple[str, ...], int]:
     """Return the retries left in this daemon's part of the budgets."""
     table = node.routing.table
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -49,12 +49,15 @@
     EngineFeed,
     RoutingFeed,
 )
+from yuccavalve.ports.relay import RelayPort
 from yuccavalve.quarantine import RequestQuarantine
 from yuccavalve.ratelimit import (
     LimitChange,
     PermitGrantor,
     RateLimiter,
 )
+from yuccavalve.relay import EngineReach, NeighborChooser
+from yuccavalve.relay.sender import NeighborSender
 from yuccavalve.routing import RoutingState, RoutingTable
 from yuccavalve.settings import BoundSettings, GatewaySettings
 
@@ -78,6 +81,8 @@
     entry_application
         Returns the application that answers callers and the platform from
         an entry directory.
+    relay
+        Sends requests to other daemons, and probes engines.
     call_counts
         Completed calls to the platform, by duty and outcome.
     """
@@ -91,6 +96,7 @@
     decoder: InboundDecoder
     decode_routes: Callable[[bytes], RoutingTable]
     entry_application: Callable[[EntryDirectory], Any]
+    relay: RelayPort
     call_counts: Mapping[tuple[str, ...], int] = attrs.field(factory=dict)
 
 
@@ -118,6 +124,10 @@
         Whether the rows of all daemons were read since the start.
     startup
         What this daemon has learned since its start.
+    reach
+        Whether this daemon reaches engines.
+    relay_sender
+        Has requests answered by other daemons meanwhile; None if disabled.
     """
 
     settings: GatewaySettings
@@ -135,6 +145,8 @@
     hubs: HubRanking
     limiter: RateLimiter
     grantor: PermitGrantor
+    reach: EngineReach = attrs.field(factory=EngineReach)
+    relay_sender: NeighborSender | None = None
     member_rows_read: bool = False
     startup: StartupKnowledge = attrs.field(factory=StartupKnowledge)
     log_rate_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
@@ -374,8 +386,10 @@
         hubs=HubRanking(roster),
         limiter=dispatcher.selector.limiter,
         grantor=PermitGrantor(dispatcher.selector.limiter.table),
+        reach=dispatcher.reach,
     )
     _connect_limits(node)
+    _connect_relay(node, dispatcher)
     return node
 
 
@@ -389,6 +403,24 @@
     )
 
 
+def _connect_relay(node: GatewayNode, dispatcher: Dispatcher) -> None:
+    """Look for partitions and relay, if a relay address is set."""
+    if not node.settings.listen.relay_address:
+        return
+    node.reach.active = True
+    node.activity.certain_until_s = lambda: node.reach.certain_until_s(
+        node.clock.now_s()
+    )
+    node.relay_sender = NeighborSender(
+        node.ports.relay,
+        NeighborChooser(node.roster, node.share_state, node.random),
+        dispatcher.budgets,
+        node.clock,
+        node.random,
+    )
+    dispatcher.relay = node.relay_sender
+
+
 def _budget_settings(bounds: BoundSettings) -> RetryBudgetSettings:
     return RetryBudgetSettings(
         bounds.retry_ratio,
@@ -409,4 +441,5 @@
         processor_millicores=int(
             daemon.processor_share * daemon.processor_speed * _MILLI,
         ),
+        relay_address=settings.listen.relay_address,
     )
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -20,6 +20,7 @@
 )
 from yuccavalve.daemon.gateway_peers import MemberLoop, ShareLoop
 from yuccavalve.daemon.lease_loop import LeaseLoop
+from yuccavalve.daemon.partition_loop import PartitionLoop
 from yuccavalve.daemon.permit_loop import PermitLoop
 from yuccavalve.daemon.quarantine_loop import QuarantineLoop
 from yuccavalve.daemon.settings_loop import SettingsLoop
@@ -36,6 +37,7 @@
 )
 from yuccavalve.observability.logs import LogRateLimiter
 from yuccavalve.peers import PeerServer, ShareServicer
+from yuccavalve.relay.entry import RelayEntry
 from yuccavalve.serving import HttpServer, bind_socket
 from yuccavalve.settings import GatewaySettings, load_gateway_settings
 
@@ -108,6 +110,7 @@
         self._signals: asyncio.Queue[int] = asyncio.Queue()
         self._servers: list[HttpServer] = []
         self._peer_server: PeerServer | None = None
+        self._relay_entry = RelayEntry(node.gateway, node.random)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def async_run(self) -> int:
@@ -163,6 +166,7 @@
             self._member_loop.async_run(),
             ShareLoop(node).async_run(),
             StallLoop(node).async_run(),
+            PartitionLoop(node).async_run(),
             self._quarantine_loop().async_run(),
             self._permit_loop().async_run(),
             self._lease_loop.async_run(),
@@ -213,7 +217,12 @@
             ('caller', listen.caller_address, node.gateway),
             ('ready', listen.ready_address, entry_application),
             ('directory', listen.directory_address, entry_application),
-            ('metrics', listen.metrics_address, metrics_application(node)),
+            ('relay', listen.relay_address, self._relay_entry),
+            (
+                'metrics',
+                listen.metrics_address,
+                metrics_application(node, self._relay_entry),
+            ),
         ):
             if address:
                 server = HttpServer(
@@ -236,6 +245,7 @@
             roster.local_member,
             peer_address=bound['peer'],
             caller_address=bound.get('caller', ''),
+            relay_address=bound.get('relay', ''),
         )
         logging.warning(
             'event=listening %s',
--- a/yuccavalve/daemon/lease_loop.py
+++ b/yuccavalve/daemon/lease_loop.py
@@ -77,6 +77,7 @@
                 self.lease.forfeit()
             else:
                 self._failures = 0
+            self._yield_if_partitioned()
             self.node.record_planning(self.is_held())
             await asyncio.sleep(jittered(self.node.random, _LEASE_POLL_S))
 
@@ -96,6 +97,21 @@
                 self.node.share_state.yielded_lease,
             )
 
+    def _yield_if_partitioned(self) -> None:
+        """Yield the lease if another daemon can order engines."""
+        node = self.node
+        if not (node.reach.partitioned and self.lease.is_holder()):
+            return
+        if node.relay_sender is None or not node.relay_sender.has_neighbor():
+            return
+        node.share_state.yielded_lease = self.lease.forfeit()
+        node.urgent_update.set()
+        logging.warning(
+            'event=lease_yielded version=%d cause=%r',
+            node.share_state.yielded_lease,
+            'reaches no engine',
+        )
+
     async def async_release(self) -> None:
         """Release the lease, so that another daemon can acquire it at once."""
         transaction = self.lease.release()
@@ -113,6 +129,8 @@
             return
         if node.routing.table is None or not self._may_contend(now_s):
             return
+        if node.reach.partitioned and not self.is_held():
+            return
         yielded = False
         if not self.is_held():
             await self._async_observe()
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -36,7 +36,7 @@
     MIN_ATTEMPT_S,
     RETRY_AFTER_BUSY_S,
 )
-from yuccavalve.gateway.models import RoutedRequest
+from yuccavalve.gateway.models import RequestRelay, RoutedRequest
 from yuccavalve.gateway.respond import (
     async_send_end,
     async_send_part,
@@ -58,6 +58,12 @@
     RequestQuarantine,
 )
 from yuccavalve.ratelimit import Permit
+from yuccavalve.relay import EngineReach
+from yuccavalve.relay.const import (
+    RETRY_AFTER_UNREACHABLE_S,
+    VERDICT_MAX_WAIT_S,
+    VERDICT_POLL_S,
+)
 from yuccavalve.results import ResultCode
 from yuccavalve.routing import RequestKind, Route, ServiceProfile
 
@@ -67,6 +73,15 @@
 _PRIORITY_LOWEST = 9
 _PRIORITY_STEP = 3
 _MS = 1000
+# Errors of requests that a partition of this daemon may have caused.
+_MAYBE_PARTITIONED = frozenset(
+    (
+        ResultCode.NO_REPLICA,
+        ResultCode.BACKEND_UNREACHABLE,
+        ResultCode.RETRY_BUDGET_SPENT,
+        ResultCode.STREAM_BROKEN,
+    )
+)
 
 
 @attrs.define(eq=False)
@@ -88,7 +103,15 @@
 
 @attrs.define
 class Dispatcher:
-    """Selects engines, sends requests to them and relays the answers."""
+    """Selects engines, sends requests to them and relays the answers.
+
+    Attributes
+    ----------
+    reach
+        Whether this daemon reaches engines.
+    relay
+        Takes over requests while it doesn't; None without neighbors.
+    """
 
     selector: EngineSelector
     backend: BackendPort
@@ -97,6 +120,8 @@
     clock: Clock
     random: Random
     quarantine: RequestQuarantine = attrs.field(factory=RequestQuarantine)
+    reach: EngineReach = attrs.field(factory=EngineReach)
+    relay: RequestRelay | None = None
 
     async def async_run(
         self,
@@ -105,10 +130,69 @@
         service: ServiceProfile,
     ) -> None:
         """Answer a request or raise ``RequestRefusedError``."""
+        self._begin(routed, service)
+        if not self._may_relay(routed):
+            try:
+                if await self._async_run_here(routed, route, service):
+                    return
+            except RequestRefusedError as error:
+                if not await self._async_is_partitioned(routed, error):
+                    raise
+        if self.relay is not None:
+            await self.relay.async_run(routed, route)
+
+    def _begin(self, routed: RoutedRequest, service: ServiceProfile) -> None:
+        """Count a caller's request, and refuse a relayed one while partitioned.
+
+        The daemon that relays it has counted it already.
+        """
+        if not routed.relayed:
+            self.budgets.deposit(service.name, self.clock.now_s())
+        elif self.reach.partitioned:
+            raise RequestRefusedError(
+                ResultCode.ENGINES_UNREACHABLE,
+                'a relayed request is not relayed again',
+                jittered_retry_s(self.random, RETRY_AFTER_UNREACHABLE_S),
+            )
+
+    def _may_relay(self, routed: RoutedRequest) -> bool:
+        """Return whether a neighbor has to answer the rest of a request."""
+        if self.relay is None or routed.relayed or not self.reach.partitioned:
+            return False
+        return not routed.may_have_run or _is_repeatable(routed)
+
+    async def _async_is_partitioned(
+        self, routed: RoutedRequest, error: RequestRefusedError
+    ) -> bool:
+        """Return whether a failed request can be relayed.
+
+        While failures may be those of this daemon, the decision is waited
+        for: a cut resets all streams at once, and their next attempts fail
+        before the first probes end.
+        """
+        is_candidate = (
+            self.relay is not None
+            and not routed.relayed
+            and error.code in _MAYBE_PARTITIONED
+            and (not routed.may_have_run or _is_repeatable(routed))
+        )
+        until_s = self.clock.now_s() + VERDICT_MAX_WAIT_S
+        while is_candidate and self.reach.detector.is_suspected():
+            if self.clock.now_s() >= until_s:
+                break
+            await asyncio.sleep(VERDICT_POLL_S)
+        return is_candidate and self._may_relay(routed)
+
+    async def _async_run_here(
+        self,
+        routed: RoutedRequest,
+        route: Route,
+        service: ServiceProfile,
+    ) -> bool:
+        """Try engines; return False once a neighbor has to be tried."""
         hit = self.quarantine.admit(routed.suspects, self.clock.now_s())
         if hit is not None:
             raise _quarantined(hit)
-        self.budgets.deposit(service.name, self.clock.now_s())
         while True:
             now_s = self.clock.now_s()
             if routed.deadline_at_s - now_s < MIN_ATTEMPT_S:
@@ -131,7 +215,9 @@
                 permit=self.selector.limiter.take(process_hash(engine), now_s),
             )
             if await self._async_attempt(routed, attempt):
-                return
+                return True
+            if self._may_relay(routed):
+                return False
             self._check_retry(routed, attempt)
 
     def _choose(
@@ -205,11 +291,15 @@
     ) -> bool:
         request = self._request(routed, attempt)
         routed.sent_count += 1
+        has_unused_retry = routed.has_unused_retry
+        routed.has_unused_retry = False
         try:
             attempt.answer = await self.backend.async_open(request)
         except BackendNotReachedError:
             routed.sent_count -= 1
+            routed.has_unused_retry = has_unused_retry
             raise
+        self.reach.record_connected(attempt.run.sent_at_s)
         answer = attempt.answer
         routed.framing = answer.framing
         routed.partial_event_bytes = 0
@@ -306,8 +396,11 @@
             return ResultCode.BACKEND_REFUSED
         now_s = self.clock.now_s()
         is_retry = routed.sent_count > 0
+        if self.relay is not None and routed.has_unused_retry:
+            return None
         if is_retry and not self.budgets.withdraw(attempt.service.name, now_s):
             return ResultCode.RETRY_BUDGET_SPENT
+        routed.has_unused_retry = is_retry
         return None
 
     def _can_retry_elsewhere(
@@ -316,6 +409,8 @@
         """Return whether another engine could take over the request now."""
         if not self._may_retry(routed):
             return False
+        if self._may_relay(routed):
+            return self.relay is not None and self.relay.has_neighbor()
         try:
             self.selector.choose(attempt.service, routed, self.clock.now_s())
         except RequestRefusedError:
@@ -388,6 +483,9 @@
         error: BackendNotReachedError,
     ) -> None:
         routed.connect_attempts += 1
+        self.reach.record_not_reached(
+            attempt.engine, error, attempt.run.sent_at_s, self.clock.now_s()
+        )
         outcome = 'permit_expired'
         if not isinstance(error, PermitExpiredError):
             outcome = 'not_reached'
@@ -402,6 +500,8 @@
     ) -> None:
         if attempt.service.engine is not None:
             self._avoid(attempt, LOST_AVOID_S)
+        if attempt.answer is None or attempt.answer.is_authentic:
+            self.reach.record_lost(attempt.engine, self.clock.now_s())
         self._record_crash(routed, attempt)
         self._record_failure(routed, attempt, 'lost', error)
 
@@ -410,14 +510,14 @@
         now_s = self.clock.now_s()
         if not attempt.run.is_beginning(now_s):
             return
-        self.quarantine.record_crash(
-            RequestCrash(
-                engine=hash32(process_key(attempt.run.key)),
-                parts=routed.inbound.prompt_parts,
-                fingerprint=routed.fingerprint,
-                ran_s=now_s - attempt.run.sent_at_s,
-            ),
-            now_s,
+        crash = RequestCrash(
+            engine=hash32(process_key(attempt.run.key)),
+            parts=routed.inbound.prompt_parts,
+            fingerprint=routed.fingerprint,
+            ran_s=now_s - attempt.run.sent_at_s,
+        )
+        self.reach.hold(
+            lambda: self.quarantine.record_crash(crash, now_s), now_s
         )
 
     def _record_refusal(
@@ -456,6 +556,10 @@
         )
 
 
+def _is_repeatable(routed: RoutedRequest) -> bool:
+    return routed.route is not None and routed.route.repeatable
+
+
 def _began_ms(run: EngineRun, now_s: float) -> int:
     """Return the time since the first event of a run; -1 without one."""
     since_s = now_s - run.first_progress_at_s
--- a/yuccavalve/gateway/models.py
+++ b/yuccavalve/gateway/models.py
@@ -1,18 +1,23 @@
 """Data classes of routed requests."""
 
 from collections.abc import Awaitable, Callable, MutableMapping
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
 import attrs
 
+from yuccavalve.exceptions import RequestRefusedError
 from yuccavalve.ports.backend import BodyFraming, HeaderFields
 from yuccavalve.prompts import PromptParts
+from yuccavalve.results import ResultCode
 from yuccavalve.routing import Route
 
 __all__ = (
     'InboundDecoder',
     'InboundRequest',
+    'RELAY_SCOPE_KEY',
     'Receive',
+    'RelayEntryMark',
+    'RequestRelay',
     'RoutedRequest',
     'Send',
 )
@@ -20,6 +25,22 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
+# Key of the ASGI scope of a request that came to the relay address.
+RELAY_SCOPE_KEY: Final = 'yuccavalve.relay'
+
+
+@attrs.frozen
+class RelayEntryMark:
+    """Mark of a request that another daemon relayed.
+
+    Attributes
+    ----------
+    refusal
+        Why it is not served, or None.
+    """
+
+    refusal: RequestRefusedError | None = None
+
 
 @attrs.frozen
 class InboundRequest:
@@ -46,6 +67,8 @@
         None starts from the beginning.
     echo
         Header fields that are repeated in refusals sent by the gateway.
+    received_headers
+        All header fields as received, for another daemon.
     """
 
     request_id: str
@@ -62,6 +85,7 @@
     prompt_parts: PromptParts = ()
     resume_after: str | None = None
     echo: HeaderFields = ()
+    received_headers: HeaderFields = ()
 
 
 class InboundDecoder(Protocol):
@@ -97,6 +121,12 @@
     partial_event_bytes
         Size of an event that was incomplete when the last engine's answer
         ended.
+    relayed
+        Whether another daemon relayed the request, which ends here.
+    has_unused_retry
+        Whether a retry was taken from the budget but nothing was sent since.
+    passed_result
+        Result code of an answer of another daemon that was passed on.
     """
 
     inbound: InboundRequest
@@ -126,6 +156,9 @@
     partial_event_bytes: int = 0
     cause: str = ''
     close_connection: bool = False
+    relayed: bool = False
+    has_unused_retry: bool = False
+    passed_result: ResultCode = ResultCode.ANSWERED
 
     @property
     def suspects(self) -> tuple[int, ...]:
@@ -139,3 +172,13 @@
         elif now_s - self.last_event_at_s > self.longest_gap_s:
             self.longest_gap_s = now_s - self.last_event_at_s
         self.last_event_at_s = now_s
+
+
+class RequestRelay(Protocol):
+    """Has requests answered by other daemons."""
+
+    def has_neighbor(self) -> bool:
+        """Return whether another daemon reaches engines."""
+
+    async def async_run(self, routed: RoutedRequest, route: Route) -> None:
+        """Answer a request or raise ``RequestRefusedError``."""
--- a/yuccavalve/gateway/server.py
+++ b/yuccavalve/gateway/server.py
@@ -22,9 +22,11 @@
 )
 from yuccavalve.gateway.dispatch import Dispatcher
 from yuccavalve.gateway.models import (
+    RELAY_SCOPE_KEY,
     InboundDecoder,
     InboundRequest,
     Receive,
+    RelayEntryMark,
     RoutedRequest,
     Send,
 )
@@ -114,6 +116,10 @@
         inbound, refusal = self._decode(scope)
         routed = RoutedRequest(inbound, receive, send, arrived_at_s)
         routed.close_connection = self.stop.stopping
+        mark: RelayEntryMark | None = scope.get(RELAY_SCOPE_KEY)
+        if mark is not None:
+            routed.relayed = True
+            refusal = refusal or mark.refusal
         if refusal is not None:
             await self._async_refuse(routed, refusal)
             return
@@ -146,7 +152,7 @@
         except Exception as error:
             outcome = self._error_outcome(routed, error)
         else:
-            self._record_end(routed, outcome_from_code(ResultCode.ANSWERED))
+            self._record_end(routed, outcome_from_code(routed.passed_result))
             return
         await self._async_finish(routed, outcome)
 
