Test that a once-only request ends with 502 when its neighbor is killed

The test lost the engine's answer instead of the neighbor, so nothing showed that a broken relay connection is not followed by a second attempt. It now kills the neighbor while the request runs; it passes.

--- a/tests/platform/test_partitioned_daemons.py
+++ b/tests/platform/test_partitioned_daemons.py
@@ -249,10 +249,15 @@
         await self._async_cut(_RESET, 0)
         for engine in self.fleet.engines.values():
             engine.lose_answers = True
-        answer = await self.callers[0].async_call(
-            'POST', '/once/x', 'id-1', deadline_ms='400'
+        pending = asyncio.create_task(
+            self.callers[0].async_call('POST', '/once/x', 'id-1')
         )
-        self.assertIn(answer.status, {502, 504})
+        await async_until(lambda: self._runs('id-1'), 'it is run')
+        for daemon in self.daemons[1:]:
+            if len(daemon.node.gateway.running):
+                await daemon.async_kill()
+        answer = await pending
+        self.assertEqual(answer.status, 502, answer.body)
         self.assertEqual(self._runs('id-1'), 1)
 
     async def test_all_daemons_cut_off_refuse_at_once(self) -> None:
