Give loads to a model without a replica first

Cause: staging and spares of other models used up the rate of loads, and a spare that loaded another model finished that first.

Change: FormationInput.missing; staging stops, other models use half of the rate, and such a spare is redirected. Simulated hosts hold two models.

--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -82,6 +82,7 @@
     joined: _JoinedReplica | None = None
     last_model: str = ''
     staged: str = ''
+    second_staged: str = ''
     epoch_seen: int = 0
     alive: bool = True
     draining: bool = False
@@ -121,7 +122,7 @@
             born_ms=self.born_ms,
             fabric_domain=self.domain,
             models=(model,) if model else (),
-            staged=frozenset((self.staged,) if self.staged else ()),
+            staged=frozenset((self.staged, self.second_staged)) - {''},
             membership=membership,
         )
 
@@ -218,6 +219,7 @@
             old.domain,
             born_ms=int(self.now_s * 1000) + 1,
             staged=old.staged,
+            second_staged=old.second_staged,
         )
 
     def open_heads(self, model: str) -> list[ModelEngine]:
@@ -339,7 +341,7 @@
         order: GroupOrder,
     ) -> OrderOutcome:
         if order.kind is GroupOrderKind.STAGE:
-            engine.staged = order.model
+            engine.second_staged = order.model
             return OrderOutcome.BEGUN
         if order.kind is GroupOrderKind.JOIN:
             return self._join(engine, order)
@@ -375,8 +377,13 @@
         wait_s = 0.0 if model is None else model.load_s
         if last == order.model:
             wait_s = 0.2
-        elif model is not None and engine.staged == order.model:
+        elif model is not None and order.model in {
+            engine.staged,
+            engine.second_staged,
+        }:
             wait_s = model.warm_s
+        if engine.second_staged == order.model:
+            engine.second_staged = engine.staged
         engine.staged = order.model
         engine.joined = _JoinedReplica(
             order.replica,
--- a/yuccavalve/formation/const.py
+++ b/yuccavalve/formation/const.py
@@ -116,3 +116,6 @@
 # How long a model's joins count as having succeeded after the last engine that
 # had joined for it.
 JOIN_SUCCESS_MAX_AGE_S: Final = 600.0
+# Fraction of the rate of loads that other models may use while a model has no
+# replica.
+OTHER_LOADS_FRACTION: Final = 0.5
--- a/yuccavalve/formation/load_rate.py
+++ b/yuccavalve/formation/load_rate.py
@@ -23,8 +23,9 @@
         facts: FormationInput,
         count: int,
         now_s: float,
+        fraction: float = 1,
     ) -> bool:
-        """Return whether more loads fit into the weight store's rate."""
+        """Return whether more loads fit into a fraction of the rate."""
         profile = facts.service.engine
         if profile is None or not facts.started or not count:
             return True
@@ -33,4 +34,4 @@
             at_s for at_s in self._starts_at_s if at_s > since_s
         ]
         allowed = profile.loads_per_s * LOAD_WINDOW_S * LOAD_RATE_FRACTION
-        return len(self._starts_at_s) + count <= allowed
+        return len(self._starts_at_s) + count <= allowed * fraction
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -72,6 +72,8 @@
         Whether this daemon first read the list only a short time ago.
     suspended
         Models whose joins are suspended.
+    missing
+        Models without a replica, although a domain has the engines for one.
     """
 
     service: ServiceProfile
@@ -90,6 +92,7 @@
     priority_model: str = ''
     is_new_daemon: bool = False
     suspended: frozenset[str] = frozenset()
+    missing: frozenset[str] = frozenset()
 
     @property
     def models(self) -> Sequence[ModelProfile]:
--- a/yuccavalve/formation/observation.py
+++ b/yuccavalve/formation/observation.py
@@ -15,6 +15,7 @@
     'is_half_warm',
     'is_loading',
     'is_warm',
+    'missing_models',
     'model_of',
     'replicas_of',
     'slot_usage',
@@ -122,6 +123,18 @@
     return domains
 
 
+def missing_models(
+    facts: FormationInput, counts: Mapping[str, int]
+) -> frozenset[str]:
+    """Return models without a replica that would fit into a domain."""
+    largest = max(facts.domain_sizes.values(), default=0)
+    return frozenset(
+        model.name
+        for model in facts.joinable_models
+        if not counts[model.name] and model.size <= largest
+    )
+
+
 def is_warm(record: EngineRecord, model: str) -> bool:
     """Return whether an engine or its host holds a model."""
     return model in record.models or model in record.staged
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -38,6 +38,7 @@
 )
 from yuccavalve.formation.observation import (
     held_model,
+    missing_models,
     model_of,
     replicas_of,
     usable_engines,
@@ -139,6 +140,7 @@
         facts = attrs.evolve(
             facts,
             warming=warming,
+            missing=missing_models(facts, counts),
             former_models=_former_models(facts, self._former_heads),
             soon_available=_soon_available(facts, self._retiring.values()),
             priority_model=self._rebalancer.priority_model(now_s),
--- a/yuccavalve/formation/staging.py
+++ b/yuccavalve/formation/staging.py
@@ -100,6 +100,9 @@
         profile = facts.service.engine
         if profile is None or not facts.started:
             return True
+        if facts.missing:
+            # A model without a replica needs the whole rate of loads.
+            return False
         max_loads = max(1, int(profile.max_concurrent_loads * STAGING_FRACTION))
         if len(self._in_progress) >= max_loads:
             return False
--- a/yuccavalve/formation/starter.py
+++ b/yuccavalve/formation/starter.py
@@ -5,7 +5,7 @@
 import attrs
 from absl import logging
 
-from yuccavalve.formation.const import EPOCHS_PER_TERM
+from yuccavalve.formation.const import EPOCHS_PER_TERM, OTHER_LOADS_FRACTION
 from yuccavalve.formation.load_rate import LoadRateLimiter
 from yuccavalve.formation.models import (
     FormationInput,
@@ -164,7 +164,10 @@
         loads = int(not is_warm(record, model.name))
         if not self._has_epochs():
             return None
-        if not self.loads.may_start(facts, loads, now_s):
+        fraction = 1.0
+        if facts.missing and model.name not in facts.missing:
+            fraction = OTHER_LOADS_FRACTION
+        if not self.loads.may_start(facts, loads, now_s, fraction):
             return None
         self.loads.start(loads, now_s)
         epoch = self._next_epoch()
@@ -208,6 +211,13 @@
     """Return whether an engine holds a model, or is loading any model.
 
     A load that is in progress is finished even if it is of another model:
-    aborting it costs more than one spare too many.
+    aborting it costs more than one spare too many. For a model without a
+    replica it is aborted, since the engine could not join before two loads.
     """
-    return is_warm(record, model) or is_loading(facts, record)
+    if is_warm(record, model):
+        return True
+    if model in facts.missing and held_model(facts, record) != model:
+        return held_model(facts, record) in facts.missing and is_loading(
+            facts, record
+        )
+    return is_loading(facts, record)
