--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -75,6 +75,8 @@
         don't count, and their engines are not used for others.
     suspended
         Models whose joins are suspended.
+    missing
+        Models without a replica, although a domain has the engines for one.
     """
 
     service: ServiceProfile
@@ -94,6 +96,7 @@
     is_new_daemon: bool = False
     evacuated: frozenset[str] = frozenset()
     suspended: frozenset[str] = frozenset()
+    missing: frozenset[str] = frozenset()
 
     @property
     def models(self) -> Sequence[ModelProfile]:
