--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -100,6 +100,9 @@
     metrics.gauge('permits_granted_cold', lambda: node.grantor.granted_cold)
     metrics.labelled_gauges(
         'cold_engine_per_s', ('engine',), lambda: _cold_per_s(node)
+    )
+
+
 def _add_relay_entry_gauges(metrics: Metrics, entry: RelayEntry) -> None:
     """Add gauges of the requests that other daemons relay."""
     metrics.gauge('relay_entry_running', lambda: entry.bounds.count)
