--- a/yuccavalve/settings/loader.py
+++ b/yuccavalve/settings/loader.py
@@ -25,7 +25,7 @@
 
 __all__ = ('load_gateway_settings', 'load_settings')
 
-_SCALARS = (int, float, str)
+_SCALARS = (bool, int, float, str)
 
 
 def load_settings(path: Path) -> Settings:
@@ -92,7 +92,8 @@
 
 def _strict_scalar(found: Any, kind: type) -> Any:
     accepted = (int, float) if kind is float else (kind,)
-    if isinstance(found, bool) or not isinstance(found, accepted):
+    is_other_bool = isinstance(found, bool) and kind is not bool
+    if is_other_bool or not isinstance(found, accepted):
         raise TypeError(f'expected {kind.__name__}, found {found!r}')
     return kind(found)
 
