Hold requests that no engine takes until one does

Callers that are refused while a replica is repaired (0.5 to 2 s) or during a burst return to the same state. With [admission] queue = true a daemon holds such requests, releases them in order when a run ends, the engines change or a suspicion ends, and refuses at once when nothing is expected. An engine with recent strikes gets one waiting request as a trial: a dead engine got all eight at the end of its suspicion.

--- a/tests/daemon/test_gateway_metrics.py
+++ b/tests/daemon/test_gateway_metrics.py
@@ -3,9 +3,12 @@
 import unittest
 from random import Random
 
+import attrs
+
 from tests.platform import builders
 from yuccavalve.daemon.gateway_metrics import metrics_application
 from yuccavalve.daemon.gateway_node import build_gateway_node
+from yuccavalve.settings import AdmissionSettings
 from yuccavalve_platform.daemon import build_ports
 from yuccavalve_platform.routes import decode_routes
 
@@ -19,6 +22,9 @@
     'yuccavalve_engines_limited 1.0',
     'yuccavalve_engine_limit_per_s{engine="unlisted-00000007"} 1.5',
     'yuccavalve_permits_held 0.0',
+    'yuccavalve_admission_released_total 0.0',
+    'yuccavalve_admission_rejected_total{reason="estimate"} 2.0',
+    'yuccavalve_admission_waiting_bytes 0.0',
     'yuccavalve_limits_passed_over 0.0',
     'yuccavalve_retries_left{service="portal"}',
     'yuccavalve_replicas_open{model="m-large",service="llm"} 0.0',
@@ -30,12 +36,16 @@
     """A daemon that has read routes but no engines."""
 
     def test_page_contains_the_metrics_for_operators(self) -> None:
-        settings = builders.settings('127.0.0.1:1')
+        settings = attrs.evolve(
+            builders.settings('127.0.0.1:1'),
+            admission=AdmissionSettings(queue=True),
+        )
         node = build_gateway_node(settings, build_ports(settings), Random(1))
         table = decode_routes(builders.encoded_configuration())
         node.routing.adopt(table, b'', 'test')
         for _ in range(3):
             node.log_rate_limiter.count_dropped()
+        node.gateway.admission.rejected['estimate'] = 2
         node.gateway.metrics.record_ms('repair_ms', 'llm', 1500)
         node.limiter.table.record_named(7, 1.5, node.clock.now_s())
         metrics_application(node)
--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -6,6 +6,7 @@
 from starlette.routing import Route
 
 from yuccavalve.daemon.gateway_node import GatewayNode
+from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.observability.metrics import (
     Metrics,
     add_limit_gauges,
@@ -25,6 +26,8 @@
         ('duty', 'outcome'),
         lambda: node.ports.call_counts,
     )
+    if node.gateway.admission is not None:
+        _add_admission_gauges(metrics, node.gateway.admission)
     metrics.labelled_gauges(
         'retries_left',
         ('service',),
@@ -67,6 +70,23 @@
     )
 
 
+def _add_admission_gauges(metrics: Metrics, gate: AdmissionGate) -> None:
+    """Add gauges and counters of the requests that wait for an engine."""
+    metrics.labelled_gauges(
+        'admission_waiting', ('workspace', 'request_class'), gate.queue.counts
+    )
+    metrics.gauge('admission_waiting_bytes', lambda: gate.queue.size_bytes)
+    metrics.gauge('admission_callers_promised', lambda: len(gate.promises))
+    metrics.labelled_counters(
+        'admission_released', (), lambda: {(): gate.released}
+    )
+    metrics.labelled_counters(
+        'admission_rejected',
+        ('reason',),
+        lambda: {(reason,): count for reason, count in gate.rejected.items()},
+    )
+
+
 def _retries_left(node: GatewayNode) -> dict[tuple[str, ...], int]:
     """Return the retries left in this daemon's part of the budgets."""
     table = node.routing.table
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -38,6 +38,8 @@
     InboundDecoder,
 )
 from yuccavalve.gateway.budget import RetryBudgetSettings, ServiceRetryBudgets
+from yuccavalve.gateway.forecasts import PoolForecasts
+from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.membership import HubRanking, Member, Roster
 from yuccavalve.observability.logs import LogRateLimiter
 from yuccavalve.peers import PeerClient, ShareState
@@ -213,6 +215,8 @@
             self._idle_forgotten_at_s = now_s
             keys = {engine_key(record) for record in self.view.records()}
             self.activity.forget_idle(keys, now_s)
+        if self.gateway.admission is not None:
+            self.gateway.admission.handle_engine_update()
 
     def mark_remote_leaving(self) -> None:
         """Mark the engines that have told other daemons that they leave."""
@@ -376,9 +380,25 @@
         grantor=PermitGrantor(dispatcher.selector.limiter.table),
     )
     _connect_limits(node)
+    if settings.admission.queue:
+        dispatcher.admission = _admission_gate(node, dispatcher)
     return node
 
 
+def _admission_gate(node: GatewayNode, dispatcher: Dispatcher) -> AdmissionGate:
+    """Return the queue of requests that no engine takes."""
+    metrics = node.gateway.metrics
+    return AdmissionGate(
+        dispatcher.selector,
+        PoolForecasts(dispatcher.selector, node.live_daemons),
+        node.clock,
+        node.random,
+        lambda service, waited_ms: metrics.record_ms(
+            'admission_waited_ms', service, waited_ms
+        ),
+    )
+
+
 def _connect_limits(node: GatewayNode) -> None:
     """Connect what engines say of themselves with the daemon's state."""
     limiter = node.limiter
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -272,14 +272,12 @@
         node.urgent_update.set()
         hand_over = asyncio.create_task(self._async_hand_over())
         self._tasks.append(hand_over)
-        await self._async_sleep_until(
-            signalled_at_s, STOP_ACCEPT_STREAMS_FRACTION
+        await self._async_refuse_from(
+            signalled_at_s, STOP_ACCEPT_STREAMS_FRACTION, streams_only=True
         )
-        node.gateway.stop.refusing_streams = True
-        await self._async_sleep_until(
-            signalled_at_s, STOP_ACCEPT_OTHERS_FRACTION
+        await self._async_refuse_from(
+            signalled_at_s, STOP_ACCEPT_OTHERS_FRACTION, streams_only=False
         )
-        node.gateway.stop.refusing = True
         idle = asyncio.create_task(node.gateway.running.async_wait_idle())
         remaining_s = self._remaining_s(signalled_at_s, STOP_CANCEL_FRACTION)
         await asyncio.wait((idle,), timeout=remaining_s)
@@ -303,10 +301,12 @@
         at_s = signalled_at_s + self._node.settings.bounds.grace_s * fraction
         return max(0, at_s - self._node.clock.now_s())
 
-    async def _async_sleep_until(
-        self, signalled_at_s: float, fraction: float
+    async def _async_refuse_from(
+        self, signalled_at_s: float, fraction: float, *, streams_only: bool
     ) -> None:
+        """Refuse new requests once a fraction of the grace time has passed."""
         await asyncio.sleep(self._remaining_s(signalled_at_s, fraction))
+        self._node.gateway.refuse_new(streams_only=streams_only)
 
     async def _async_hand_over(self) -> None:
         try:
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -55,6 +55,10 @@
     """Do nothing; the exchange has not begun."""
 
 
+def _ignore_end(run: 'EngineRun') -> None:
+    """Do nothing; no request waits for the end of a run."""
+
+
 def _cannot_retry() -> bool:
     return False
 
@@ -147,11 +151,14 @@
     remote_leaving
         Engines that have told another daemon that they are about to stop, by
         ``engine_key_hash``.
+    on_end
+        Called with each run that ends.
     """
 
     remote_runs: Mapping[int, int] = attrs.field(factory=dict)
     remote_strikes: Mapping[int, int] = attrs.field(factory=dict)
     remote_leaving: frozenset[int] = frozenset()
+    on_end: Callable[[EngineRun], None] = _ignore_end
     _engines: dict[str, EngineActivity] = attrs.field(factory=dict)
     _backoff_until_s: dict[str, float] = attrs.field(factory=dict)
     _leaving_at_s: dict[str, float] = attrs.field(factory=dict)
@@ -165,6 +172,7 @@
         activity = self._engines.get(run.key)
         if activity is not None:
             activity.runs.discard(run)
+        self.on_end(run)
 
     def record_progress(self, run: EngineRun, now_s: float) -> None:
         """Record an event of a run, which clears its engine's strikes."""
@@ -246,6 +254,24 @@
             return False
         return engine_key_hash(key) in self.remote_strikes
 
+    def suspect_until_s(self, key: str) -> float:
+        """Return until when this daemon itself suspects an engine."""
+        backoff_s = self._backoff_until_s.get(process_key(key), _NEVER_S)
+        activity = self._engines.get(key)
+        if activity is None:
+            return backoff_s
+        return max(backoff_s, activity.suspect_until_s)
+
+    def is_on_trial(self, key: str, now_s: float) -> bool:
+        """Return whether a run shows if an engine with strikes has recovered.
+
+        Until it does, further requests would only share its failure.
+        """
+        activity = self._engines.get(key)
+        if activity is None or not activity.strikes or not activity.runs:
+            return False
+        return now_s - activity.last_strike_at_s < STRIKE_MAX_AGE_S
+
     def local_load(self, key: str) -> int:
         """Return the number of this daemon's runs at an engine."""
         activity = self._engines.get(key)
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -18,6 +18,7 @@
 
 _NEVER_S = float('-inf')
 _MS = 1000
+_FORMING_STATES = frozenset((MemberState.JOINING, MemberState.READY))
 
 
 @attrs.define
@@ -201,6 +202,20 @@
             if record.membership is not None and model in record.models
         )
 
+    def forming(self, service: str, model: str) -> frozenset[str]:
+        """Return the replicas that are being formed for a model.
+
+        Records don't name the model that an engine without one loads, so it
+        counts for each model.
+        """
+        return frozenset(
+            record.membership.replica
+            for record in self._records.values()
+            if record.service == service
+            and _is_forming(record)
+            and (not record.models or model in record.models)
+        )
+
     def _routable_by_service(self) -> dict[str, tuple[EngineRecord, ...]]:
         if self._routable_version != self.revision:
             by_service: dict[str, list[EngineRecord]] = {}
@@ -315,6 +330,13 @@
             logging.info('event=engine_draining engine=%s', record.engine)
 
 
+def _is_forming(record: EngineRecord) -> bool:
+    membership = record.membership
+    if membership is None or record.draining:
+        return False
+    return membership.state in _FORMING_STATES
+
+
 def _takes_requests(record: EngineRecord) -> bool:
     if record.draining:
         return False
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -48,6 +48,7 @@
     slots,
     times_key,
 )
+from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.hashing import hash32
 from yuccavalve.ports.backend import BackendAnswer, BackendPort, BackendRequest
 from yuccavalve.ports.fleet import EngineRecord
@@ -88,7 +89,13 @@
 
 @attrs.define
 class Dispatcher:
-    """Selects engines, sends requests to them and relays the answers."""
+    """Selects engines, sends requests to them and relays the answers.
+
+    Attributes
+    ----------
+    admission
+        Holds requests that no engine takes; None refuses them at once.
+    """
 
     selector: EngineSelector
     backend: BackendPort
@@ -97,6 +104,7 @@
     clock: Clock
     random: Random
     quarantine: RequestQuarantine = attrs.field(factory=RequestQuarantine)
+    admission: AdmissionGate | None = None
 
     async def async_run(
         self,
@@ -113,7 +121,8 @@
             now_s = self.clock.now_s()
             if routed.deadline_at_s - now_s < MIN_ATTEMPT_S:
                 raise self._final_error(routed, ResultCode.DEADLINE_UNREACHABLE)
-            engine = self._choose(routed, service)
+            engine = await self._async_choose(routed, service)
+            now_s = self.clock.now_s()
             attempt = _Attempt(
                 service,
                 route,
@@ -134,13 +143,18 @@
                 return
             self._check_retry(routed, attempt)
 
-    def _choose(
+    async def _async_choose(
         self,
         routed: RoutedRequest,
         service: ServiceProfile,
     ) -> EngineRecord:
+        """Return an engine; nothing may be awaited until its run begins."""
+        now_s = self.clock.now_s()
         try:
-            engine = self.selector.choose(service, routed, self.clock.now_s())
+            if self.admission is None:
+                engine = self.selector.choose(service, routed, now_s)
+            else:
+                engine = await self.admission.async_choose(routed, service)
         except RequestRefusedError as error:
             if routed.may_have_run or routed.response_began:
                 raise _broken(routed, str(error)) from error
--- a/yuccavalve/gateway/selection.py
+++ b/yuccavalve/gateway/selection.py
@@ -95,7 +95,7 @@
         RequestRefusedError
             If no engine can take the request now.
         """
-        candidates = self._candidates(service, routed.inbound.model)
+        candidates = self.candidates(service, routed.inbound.model)
         untried = [
             each for each in candidates if each.engine not in routed.tried
         ]
@@ -216,11 +216,12 @@
             ),
         )
 
-    def _candidates(
+    def candidates(
         self,
         service: ServiceProfile,
         model: str,
     ) -> Sequence[EngineRecord]:
+        """Return the engines that are listed for requests of a model."""
         if service.engine is None:
             return self.view.backends(service.name)
         return self.view.heads(service.name, model)
@@ -244,15 +245,19 @@
             self._service_s(service, routed),
         )
 
-    def _service_s(
-        self, service: ServiceProfile, routed: RoutedRequest
-    ) -> float:
+    def service_s(self, service: ServiceProfile, model: str) -> float:
+        """Return the mean time for which a request occupies a slot."""
         plain = service.engine is None
         return self.times.mean_s(
-            times_key(service, routed),
+            f'{service.name}/{model}',
             ASSUMED_PLAIN_S if plain else ASSUMED_STREAM_S,
         )
 
+    def _service_s(
+        self, service: ServiceProfile, routed: RoutedRequest
+    ) -> float:
+        return self.service_s(service, routed.inbound.model)
+
     def _queued(
         self,
         service: ServiceProfile,
--- a/yuccavalve/gateway/server.py
+++ b/yuccavalve/gateway/server.py
@@ -30,6 +30,7 @@
 )
 from yuccavalve.gateway.respond import async_send_refusal
 from yuccavalve.gateway.selection import jittered_retry_s
+from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.inflight import InFlightRequests, async_read_body
 from yuccavalve.observability.metrics import Metrics, RequestMeasurement
 from yuccavalve.results import Outcome, ResultCode, outcome_from_code
@@ -103,6 +104,18 @@
         """Return the retry budgets of services."""
         return self._dispatcher.budgets
 
+    @property
+    def admission(self) -> AdmissionGate | None:
+        """Return the queue of requests that no engine takes, if any."""
+        return self._dispatcher.admission
+
+    def refuse_new(self, *, streams_only: bool) -> None:
+        """Refuse new requests, and those that wait for an engine."""
+        self.stop.refusing_streams = True
+        self.stop.refusing = self.stop.refusing or not streams_only
+        if self.admission is not None:
+            self.admission.refuse_new(streams_only=streams_only)
+
     async def __call__(
         self,
         scope: dict[str, Any],
--- a/yuccavalve/results.py
+++ b/yuccavalve/results.py
@@ -41,6 +41,7 @@
     ZONE_EVACUATED = 2012
     RELAY_FULL = 2013
     ENGINES_UNREACHABLE = 2014
+    ADMISSION_QUEUE_FULL = 2015
 
     STREAM_BROKEN = 3000
     STREAM_SILENT = 3001
@@ -82,6 +83,7 @@
         ResultCode.ANSWERED_FROM_LEDGER: 200,
         ResultCode.QUEUE_FULL: 429,
         ResultCode.WORKSPACE_LIMIT: 429,
+        ResultCode.ADMISSION_QUEUE_FULL: 429,
         ResultCode.STREAM_BROKEN: 502,
         ResultCode.STREAM_SILENT: 504,
         ResultCode.REPLICA_LOST: 502,
--- a/yuccavalve/settings/__init__.py
+++ b/yuccavalve/settings/__init__.py
@@ -1,6 +1,7 @@
 """Daemon settings, read from TOML and validated before use."""
 
 from yuccavalve.settings.gateway import (
+    AdmissionSettings,
     BoundSettings,
     CapacitySettings,
     GatewayDaemonSettings,
@@ -20,6 +21,7 @@
 
 __all__ = (
     'AccessSettings',
+    'AdmissionSettings',
     'BoundSettings',
     'CapacitySettings',
     'DaemonSettings',
--- a/yuccavalve/settings/gateway.py
+++ b/yuccavalve/settings/gateway.py
@@ -3,6 +3,7 @@
 import attrs
 
 __all__ = (
+    'AdmissionSettings',
     'BoundSettings',
     'CapacitySettings',
     'GatewayDaemonSettings',
@@ -105,6 +106,13 @@
     learn: bool = False
 
 
+@attrs.frozen
+class AdmissionSettings:
+    """Whether requests that no engine takes wait for one."""
+
+    queue: bool = False
+
+
 @attrs.frozen
 class GatewaySettings:
     """All sections of a gateway daemon's settings file."""
@@ -114,3 +122,4 @@
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
     capacity: CapacitySettings = CapacitySettings()
+    admission: AdmissionSettings = AdmissionSettings()
