--- a/yuccavalve/admission/const.py
+++ b/yuccavalve/admission/const.py
@@ -66,6 +66,9 @@
 # wait. Loads that other daemons report change four times a second.
 CHECK_GAP_S: Final = 0.005
 CHECK_PERIOD_S: Final = 0.1
+# Least time between two estimates of all waiting requests, which cost most of a
+# check.
+ESTIMATE_GAP_S: Final = 0.05
 # Requests that have tried engines are checked one by one, at most this many in
 # a check.
 MAX_SINGLE_CHECKS: Final = 8
--- a/yuccavalve/gateway/waiting.py
+++ b/yuccavalve/gateway/waiting.py
@@ -29,6 +29,7 @@
 from yuccavalve.admission.const import (
     CHECK_GAP_S,
     CHECK_PERIOD_S,
+    ESTIMATE_GAP_S,
     MAX_SINGLE_CHECKS,
     RECHECK_FACTOR,
     RECHECK_MARGIN_S,
@@ -150,6 +151,7 @@
     _timer: Timer | None = None
     _timer_at_s: float = math.inf
     _checked_at_s: float = -math.inf
+    _estimated_at_s: float = -math.inf
     _refuses_streams: bool = False
     _refuses_others: bool = False
 
@@ -282,16 +284,21 @@
         self._timer_at_s = math.inf
         now_s = self.clock.now_s()
         self._checked_at_s = now_s
+        estimates = now_s - self._estimated_at_s >= ESTIMATE_GAP_S
+        if estimates:
+            self._estimated_at_s = now_s
         for key in self.queue.pools():
-            self._check_pool(key, now_s)
+            self._check_pool(key, now_s, estimates=estimates)
         self._schedule_check()
 
-    def _check_pool(self, key: PoolKey, now_s: float) -> None:
+    def _check_pool(
+        self, key: PoolKey, now_s: float, *, estimates: bool = True
+    ) -> None:
         for request in self.queue:
             if request.pool == key and now_s >= request.give_up_at_s:
                 self._drop(request, 'too_late', now_s)
         self._release(key, now_s)
-        if self.queue.count(key):
+        if estimates and self.queue.count(key):
             self._reject_hopeless(key, now_s)
 
     def _release(self, key: PoolKey, now_s: float) -> None:
