--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -39,6 +39,8 @@
     InboundDecoder,
 )
 from yuccavalve.gateway.budget import RetryBudgetSettings, ServiceRetryBudgets
+from yuccavalve.gateway.forecasts import PoolForecasts
+from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.membership import HubRanking, Member, Roster
 from yuccavalve.observability.logs import LogRateLimiter
 from yuccavalve.peers import PeerClient, ShareState
@@ -241,6 +243,8 @@
             self._idle_forgotten_at_s = now_s
             keys = {engine_key(record) for record in self.view.records()}
             self.activity.forget_idle(keys, now_s)
+        if self.gateway.admission is not None:
+            self.gateway.admission.handle_engine_update()
 
     def apply_evacuations(self, reading: RoutingSnapshot) -> None:
         """Apply the evacuated zones in an answer of the store."""
@@ -457,9 +461,27 @@
     node.evacuations.on_change = node.handle_evacuation_change
     _connect_limits(node)
     _connect_relay(node, dispatcher)
+    if settings.admission.queue:
+        dispatcher.admission = _admission_gate(node, dispatcher)
     return node
 
 
+def _admission_gate(node: GatewayNode, dispatcher: Dispatcher) -> AdmissionGate:
+    """Return the queue of requests that no engine takes."""
+    metrics = node.gateway.metrics
+    gate = AdmissionGate(
+        dispatcher.selector,
+        PoolForecasts(dispatcher.selector, node.live_daemons),
+        node.clock,
+        node.random,
+        lambda service, waited_ms: metrics.record_ms(
+            'admission_waited_ms', service, waited_ms
+        ),
+    )
+    node.limiter.on_granted = gate.wake
+    return gate
+
+
 def _connect_limits(node: GatewayNode) -> None:
     """Connect what engines say of themselves with the daemon's state."""
     limiter = node.limiter
--- a/yuccavalve/daemon/partition_loop.py
+++ b/yuccavalve/daemon/partition_loop.py
@@ -110,6 +110,9 @@
         node.activity.record_partition(change.partitioned)
         node.share_state.record_reach(engines_unreachable=change.partitioned)
         node.urgent_update.set()
+        gate = node.gateway.admission
+        if change.partitioned and gate is not None:
+            gate.refuse_unreachable()
         if change.partitioned:
             logging.warning(
                 'event=engines_unreachable neighbors=%d cause=%r',
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -48,6 +48,7 @@
     slots,
     times_key,
 )
+from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.hashing import hash32
 from yuccavalve.ports.backend import BackendAnswer, BackendPort, BackendRequest
 from yuccavalve.ports.fleet import EngineRecord
@@ -111,6 +112,8 @@
         Whether this daemon reaches engines.
     relay
         Takes over requests while it doesn't; None without neighbors.
+    admission
+        Holds requests that no engine takes; None refuses them at once.
     """
 
     selector: EngineSelector
@@ -122,6 +125,7 @@
     quarantine: RequestQuarantine = attrs.field(factory=RequestQuarantine)
     reach: EngineReach = attrs.field(factory=EngineReach)
     relay: RequestRelay | None = None
+    admission: AdmissionGate | None = None
 
     async def async_run(
         self,
@@ -161,6 +165,12 @@
             return False
         return not routed.may_have_run or _is_repeatable(routed)
 
+    def _prefers_neighbors(self, routed: RoutedRequest) -> bool:
+        """Return whether to relay rather than to wait for an engine."""
+        if self.relay is None or routed.relayed:
+            return False
+        return self.reach.doubtful
+
     async def _async_is_partitioned(
         self, routed: RoutedRequest, error: RequestRefusedError
     ) -> bool:
@@ -197,7 +207,8 @@
             now_s = self.clock.now_s()
             if routed.deadline_at_s - now_s < MIN_ATTEMPT_S:
                 raise self._final_error(routed, ResultCode.DEADLINE_UNREACHABLE)
-            engine = self._choose(routed, service)
+            engine = await self._async_choose(routed, service)
+            now_s = self.clock.now_s()
             attempt = _Attempt(
                 service,
                 route,
@@ -220,13 +231,18 @@
                 return False
             self._check_retry(routed, attempt)
 
-    def _choose(
+    async def _async_choose(
         self,
         routed: RoutedRequest,
         service: ServiceProfile,
     ) -> EngineRecord:
+        """Return an engine; nothing may be awaited until its run begins."""
+        now_s = self.clock.now_s()
         try:
-            engine = self.selector.choose(service, routed, self.clock.now_s())
+            if self.admission is None or self._prefers_neighbors(routed):
+                engine = self.selector.choose(service, routed, now_s)
+            else:
+                engine = await self.admission.async_choose(routed, service)
         except RequestRefusedError as error:
             if routed.may_have_run or routed.response_began:
                 raise _broken(routed, str(error)) from error
