Learn the concurrency and speed of each server from its answers

Cause: selection assumes that all servers of a service are equal and handle all of their slots well, so a server that becomes slower by 3 to 12 times keeps its share of the requests.

Change: package capacity estimates speed and knee from times of answers, first events and events, daemons exchange the beliefs in their updates, and selection uses them in place of the slots. Bounded probes find recovered servers. Enabled by [capacity] learn, which the loader could not read: it rejected every boolean.

--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -5,6 +5,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from yuccavalve.capacity import CapacityBook
+from yuccavalve.capacity.const import MAX_METRIC_SERVERS
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.observability.metrics import (
     Metrics,
@@ -62,6 +64,8 @@
     metrics.labelled_gauges(
         'engine_limit_per_s', ('engine',), lambda: _limits_per_s(node)
     )
+    if node.share_state.capacities is not None:
+        _add_capacity_gauges(metrics, node, node.share_state.capacities)
     metrics.gauge(
         'log_lines_left_out', lambda: node.log_rate_limiter.dropped_total
     )
@@ -85,6 +89,38 @@
     }
 
 
+def _add_capacity_gauges(
+    metrics: Metrics, node: GatewayNode, book: CapacityBook
+) -> None:
+    """Add gauges of learned capacities, of the slowest engines first."""
+    labels = ('engine',)
+    metrics.labelled_gauges(
+        'engine_concurrency_learned',
+        labels,
+        lambda: {
+            (node.keyed_engine_name(belief.server),): belief.concurrency
+            for belief in book.slowest(MAX_METRIC_SERVERS, node.clock.now_s())
+        },
+    )
+    metrics.labelled_gauges(
+        'engine_speed_learned',
+        labels,
+        lambda: {
+            (node.keyed_engine_name(belief.server),): belief.speed
+            for belief in book.slowest(MAX_METRIC_SERVERS, node.clock.now_s())
+        },
+    )
+    metrics.labelled_gauges(
+        'engine_capacity_samples',
+        labels,
+        lambda: {
+            (node.keyed_engine_name(belief.server),): belief.samples
+            for belief in book.slowest(MAX_METRIC_SERVERS, node.clock.now_s())
+        },
+    )
+    metrics.gauge('capacity_probes', lambda: book.probes.sent)
+
+
 def _routing_age_s(node: GatewayNode) -> float:
     return node.clock.now_s() - node.routing.confirmed_at_s
 
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -9,6 +9,8 @@
 import attrs
 from absl import logging
 
+from yuccavalve.capacity import CapacityBook, CapacityChange
+from yuccavalve.capacity.const import DELAY_SETTLE_S
 from yuccavalve.clock import BootClock, Clock
 from yuccavalve.daemon.entry_directory import EntryDirectory
 from yuccavalve.daemon.loop_delay import LoopDelay
@@ -213,6 +215,10 @@
             self._idle_forgotten_at_s = now_s
             keys = {engine_key(record) for record in self.view.records()}
             self.activity.forget_idle(keys, now_s)
+            if self.share_state.capacities is not None:
+                self.share_state.capacities.forget_except(
+                    {engine_key_hash(key) for key in keys}
+                )
 
     def mark_remote_leaving(self) -> None:
         """Mark the engines that have told other daemons that they leave."""
@@ -245,6 +251,28 @@
         if change.tightens:
             self.urgent_update.set()
 
+    def record_capacity_change(self, change: CapacityChange) -> None:
+        """Log a large change of what an engine is believed to handle."""
+        logging.info(
+            'event=engine_capacity engine=%s concurrency=%.1f speed=%.2f '
+            'previous_concurrency=%.1f previous_speed=%.2f samples=%d '
+            'source=%s',
+            self.keyed_engine_name(change.server),
+            change.concurrency,
+            change.speed,
+            change.previous_concurrency,
+            change.previous_speed,
+            change.samples,
+            change.source,
+        )
+
+    def keyed_engine_name(self, server: int) -> str:
+        """Return the name of an engine by the id of its start and replica."""
+        for record in self.view.records():
+            if engine_key_hash(engine_key(record)) == server:
+                return record.engine
+        return f'unlisted-{server:08x}'
+
     def engine_name(self, engine: int) -> str:
         """Return the name of an engine by the id of its start."""
         for record in self.view.records():
@@ -328,7 +356,13 @@
     )
     dispatcher = Dispatcher(
         EngineSelector(
-            view, activity, random, settings.daemon.availability_zone
+            view,
+            activity,
+            random,
+            settings.daemon.availability_zone,
+            capacities=CapacityBook(random)
+            if settings.capacity.learn
+            else None,
         ),
         ports.backend,
         activity,
@@ -348,6 +382,7 @@
         random,
         quarantine=quarantine,
         limits=dispatcher.selector.limiter.table,
+        capacities=dispatcher.selector.capacities,
     )
     gateway = Gateway(ports.decoder, routing, dispatcher, clock, random)
     gateway.is_informed = lambda: share_state.informed
@@ -376,9 +411,22 @@
         grantor=PermitGrantor(dispatcher.selector.limiter.table),
     )
     _connect_limits(node)
+    _connect_capacities(node)
     return node
 
 
+def _connect_capacities(node: GatewayNode) -> None:
+    """Connect learned capacities with the daemon's state."""
+    capacities = node.share_state.capacities
+    if capacities is None:
+        return
+    capacities.on_change = node.record_capacity_change
+    capacities.probes.daemon_count = node.live_daemons
+    capacities.was_delayed = lambda now_s: node.loop_delay.was_delayed_since(
+        now_s - DELAY_SETTLE_S
+    )
+
+
 def _connect_limits(node: GatewayNode) -> None:
     """Connect what engines say of themselves with the daemon's state."""
     limiter = node.limiter
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -13,6 +13,7 @@
 import attrs
 from absl import logging
 
+from yuccavalve.capacity import RunRecorder
 from yuccavalve.clock import Clock
 from yuccavalve.events import EventSplitter, last_event_id
 from yuccavalve.exceptions import (
@@ -25,6 +26,7 @@
     Activity,
     EngineRun,
     engine_key,
+    engine_key_hash,
     process_hash,
     process_key,
 )
@@ -64,6 +66,7 @@
 __all__ = ('Dispatcher',)
 
 _FIRST_FAILURE_STATUS = 400
+_EVENT_END = b'\n\n'
 _PRIORITY_LOWEST = 9
 _PRIORITY_STEP = 3
 _MS = 1000
@@ -79,6 +82,7 @@
     run: EngineRun
     had_free_slot: bool
     permit: Permit | None
+    recorder: RunRecorder | None = None
     answer: BackendAnswer | None = None
 
     @property
@@ -157,6 +161,7 @@
         """Try one engine; return whether it gave the final answer."""
         run = attempt.run
         self.activity.begin(run)
+        attempt.recorder = self._recorder(routed, attempt)
         try:
             async with asyncio.timeout(None) as timer:
                 run.cancel = lambda: timer.reschedule(0)
@@ -187,6 +192,30 @@
         load = self.activity.load(engine_key(engine))
         return load < slots(service, engine)
 
+    def _recorder(
+        self, routed: RoutedRequest, attempt: _Attempt
+    ) -> RunRecorder | None:
+        """Return what records the times of an attempt, if they are learned."""
+        book = self.selector.capacities
+        if book is None:
+            return None
+        run = attempt.run
+        return RunRecorder(
+            book=book,
+            server=engine_key_hash(run.key),
+            service=times_key(attempt.service, routed),
+            kind=attempt.route.name,
+            slots=slots(attempt.service, attempt.engine),
+            profile=attempt.service.engine,
+            # An engine that resumes a stream also reads the earlier answer.
+            prompt_tokens=0
+            if routed.response_began
+            else routed.inbound.prompt_tokens,
+            load=lambda: self.activity.load(run.key),
+            sent_at_s=run.sent_at_s,
+            had_free_slot=attempt.had_free_slot,
+        )
+
     def _record_answered(
         self, routed: RoutedRequest, attempt: _Attempt
     ) -> None:
@@ -231,7 +260,7 @@
         if attempt.is_stream and not failed:
             await self._async_relay_events(routed, attempt, answer)
         else:
-            await self._async_relay_body(routed, answer)
+            await self._async_relay_body(routed, attempt, answer)
         if not failed:
             self._record_answered(routed, attempt)
         return True
@@ -271,13 +300,28 @@
                 routed.record_event(now_s)
                 routed.last_event = last_event_id(whole) or routed.last_event
                 await async_send_part(routed, whole)
+                if attempt.recorder is not None:
+                    self._record_events(attempt.recorder, whole, now_s)
+
+    def _record_events(
+        self, recorder: RunRecorder, whole: bytes, read_at_s: float
+    ) -> None:
+        recorder.record_events(max(1, whole.count(_EVENT_END)), read_at_s)
+        now_s = self.clock.now_s()
+        recorder.record_relayed(now_s - read_at_s, now_s)
 
     async def _async_relay_body(
         self,
         routed: RoutedRequest,
+        attempt: _Attempt,
         answer: BackendAnswer,
     ) -> None:
         body = await answer.async_read_all(MAX_ANSWER_BYTES)
+        if (
+            attempt.recorder is not None
+            and answer.status < _FIRST_FAILURE_STATUS
+        ):
+            attempt.recorder.record_answer(self.clock.now_s())
         length = (b'content-length', str(len(body)).encode())
         await async_send_start(routed, answer.status, (*answer.headers, length))
         await async_send_end(routed, body)
--- a/yuccavalve/gateway/selection.py
+++ b/yuccavalve/gateway/selection.py
@@ -11,8 +11,15 @@
 
 import attrs
 
+from yuccavalve.capacity import Capacity, CapacityBook
+from yuccavalve.capacity.const import LATENCY_WEIGHT
 from yuccavalve.exceptions import RequestRefusedError
-from yuccavalve.fleet.activity import Activity, engine_key, process_hash
+from yuccavalve.fleet.activity import (
+    Activity,
+    engine_key,
+    engine_key_hash,
+    process_hash,
+)
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.gateway.const import (
     ASSUMED_PLAIN_S,
@@ -36,7 +43,7 @@
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.ratelimit import RateLimiter
 from yuccavalve.results import ResultCode
-from yuccavalve.routing import ServiceProfile
+from yuccavalve.routing import RequestKind, ServiceProfile
 
 __all__ = ('EngineSelector', 'jittered_retry_s', 'slots', 'times_key')
 
@@ -67,6 +74,8 @@
         Chooses among the engines that can take it.
     limiter
         Decides whether an engine that has named a limit may be used.
+    capacities
+        Learned capacities of engines; None to use their slots.
     """
 
     view: FleetView
@@ -81,6 +90,7 @@
             lambda selector: RateLimiter(selector.random), takes_self=True
         )
     )
+    capacities: CapacityBook | None = None
 
     def choose(
         self,
@@ -113,6 +123,11 @@
                 self._backoff_s(untried, now_s),
             )
         allowed = self._allowed(service, sound, now_s)
+        if self.capacities is not None:
+            self._regroup(self.capacities, service, routed, now_s)
+            probed = self._probed(self.capacities, service, allowed, routed)
+            if probed is not None:
+                return probed
         best = self._permitted_or_best(service, allowed, now_s)
         limit_s = self.waits.limit_s(self._queued(service, routed, now_s))
         if self.expected_wait_s(service, best, routed) > max(0, limit_s):
@@ -229,7 +244,11 @@
         self, service: ServiceProfile, engine: EngineRecord
     ) -> float:
         load = self.activity.load(engine_key(engine))
-        return load / slots(service, engine)
+        slot_count = slots(service, engine)
+        if self.capacities is None:
+            return load / slot_count
+        capacity = self._capacity(self.capacities, service, engine)
+        return capacity.load_per_slot(load, slot_count, LATENCY_WEIGHT)
 
     def expected_wait_s(
         self,
@@ -238,12 +257,65 @@
         routed: RoutedRequest,
     ) -> float:
         """Return the expected time until an engine has a free slot."""
+        load = self.activity.load(engine_key(engine))
+        service_s = self._service_s(service, routed)
+        if self.capacities is None:
+            return expected_wait_s(load, slots(service, engine), service_s)
+        capacity = self._capacity(self.capacities, service, engine)
         return expected_wait_s(
-            self.activity.load(engine_key(engine)),
-            slots(service, engine),
-            self._service_s(service, routed),
+            load, capacity.concurrency, service_s / capacity.speed
+        )
+
+    def _capacity(
+        self,
+        capacities: CapacityBook,
+        service: ServiceProfile,
+        engine: EngineRecord,
+    ) -> Capacity:
+        return capacities.capacity(
+            engine_key_hash(engine_key(engine)), slots(service, engine)
         )
 
+    def _regroup(
+        self,
+        capacities: CapacityBook,
+        service: ServiceProfile,
+        routed: RoutedRequest,
+        now_s: float,
+    ) -> None:
+        """Tell the capacities now and then which engines are compared."""
+        capacities.now_s = now_s
+        key = times_key(service, routed)
+        if capacities.is_regroup_due(key, now_s):
+            candidates = self._candidates(service, routed.inbound.model)
+            capacities.regroup(
+                key,
+                [engine_key_hash(engine_key(each)) for each in candidates],
+                now_s,
+            )
+
+    def _probed(
+        self,
+        capacities: CapacityBook,
+        service: ServiceProfile,
+        allowed: Sequence[EngineRecord],
+        routed: RoutedRequest,
+    ) -> EngineRecord | None:
+        """Return an engine whose capacity the request should test, if any."""
+        if routed.tried or routed.response_began:
+            return None
+        probes = capacities.probes
+        probes.deposit()
+        if not probes.is_possible or not _may_probe(routed):
+            return None
+        for engine in allowed:
+            key = engine_key(engine)
+            is_due = probes.is_due(engine_key_hash(key), capacities.now_s)
+            if is_due and self.activity.load(key) < slots(service, engine):
+                probes.record_probe(engine_key_hash(key), capacities.now_s)
+                return engine
+        return None
+
     def _service_s(
         self, service: ServiceProfile, routed: RoutedRequest
     ) -> float:
@@ -286,6 +358,14 @@
     return max(1, engine.slots if plain else service.engine.slots)
 
 
+def _may_probe(routed: RoutedRequest) -> bool:
+    """Return whether a request may go to an engine that may be slow."""
+    route = routed.route
+    if route is None or route.kind is RequestKind.ONCE:
+        return False
+    return route.priority > 0 and routed.priority != 0
+
+
 def times_key(service: ServiceProfile, routed: RoutedRequest) -> str:
     """Return the key under which the times of a request are recorded."""
     return f'{service.name}/{routed.inbound.model}'
--- a/yuccavalve/load/queueing.py
+++ b/yuccavalve/load/queueing.py
@@ -79,7 +79,7 @@
         return min(wanted_s, request.remaining_s - request.service_s)
 
 
-def expected_wait_s(load: int, slots: int, service_s: float) -> float:
+def expected_wait_s(load: int, slots: float, service_s: float) -> float:
     """Return the expected time until a further request gets a slot.
 
     Parameters
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -12,11 +12,16 @@
 
 import attrs
 
+from yuccavalve.capacity import CapacityBook
 from yuccavalve.clock import Clock
 from yuccavalve.const import PROTOCOL_VERSION
 from yuccavalve.fleet.activity import Activity, engine_key_hash
 from yuccavalve.fleet.const import SHARE_MAX_AGE_S
 from yuccavalve.membership import Member, Roster
+from yuccavalve.peers.capacity_news import (
+    decode_capacities,
+    encode_capacities,
+)
 from yuccavalve.peers.cells import (
     LoadTotals,
     add_loads,
@@ -116,6 +121,8 @@
         Parts of prompts that crash engines.
     limits
         Limits that engines have named.
+    capacities
+        Learned capacities of engines; None if this daemon does not learn.
     """
 
     roster: Roster
@@ -132,6 +139,7 @@
     exchanges: ExchangeTimes = attrs.field(factory=ExchangeTimes)
     quarantine: RequestQuarantine = attrs.field(factory=RequestQuarantine)
     limits: LimitTable = attrs.field(factory=LimitTable)
+    capacities: CapacityBook | None = None
     _sequence: int = 0
     _updates: dict[str, DaemonUpdate] = attrs.field(factory=dict)
     _followers: dict[str, float] = attrs.field(factory=dict)
@@ -160,6 +168,7 @@
             follows=follows,
             quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
             limits=encode_news(self.limits, self.clock.now_s()),
+            capacities=encode_capacities(self.capacities, self.clock.now_s()),
         )
         if follows or not self._reports_cell():
             return message
@@ -184,6 +193,7 @@
             sender=self._local_entry(with_loads=self.follows),
             quarantine=encode_quarantine(self.quarantine, self.clock.now_s()),
             limits=encode_news(self.limits, self.clock.now_s()),
+            capacities=encode_capacities(self.capacities, self.clock.now_s()),
         )
         if not request.follows:
             self._followers.pop(request.sender.member.member, None)
@@ -250,6 +260,12 @@
         self.limits.apply(
             decode_limits(message.limits, sent_at_s), self.clock.now_s()
         )
+        if self.capacities is not None:
+            self.capacities.apply(
+                decode_capacities(message.capacities, sent_at_s),
+                self.clock.now_s(),
+                sender.member.member,
+            )
         return urgent or self.quarantine.take_urgent_news()
 
     def has_followers(self) -> bool:
--- a/yuccavalve/settings/loader.py
+++ b/yuccavalve/settings/loader.py
@@ -92,7 +92,8 @@
 
 def _strict_scalar(found: Any, kind: type) -> Any:
     accepted = (int, float) if kind is float else (kind,)
-    if isinstance(found, bool) or not isinstance(found, accepted):
+    is_other = isinstance(found, bool) and kind is not bool
+    if is_other or not isinstance(found, accepted):
         raise TypeError(f'expected {kind.__name__}, found {found!r}')
     return kind(found)
 
