--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -9,6 +9,8 @@
 import attrs
 from absl import logging
 
+from yuccavalve.capacity import CapacityBook, CapacityChange
+from yuccavalve.capacity.const import DELAY_SETTLE_S
 from yuccavalve.clock import BootClock, Clock
 from yuccavalve.daemon.entry_directory import EntryDirectory
 from yuccavalve.daemon.loop_delay import LoopDelay
@@ -243,6 +245,10 @@
             self._idle_forgotten_at_s = now_s
             keys = {engine_key(record) for record in self.view.records()}
             self.activity.forget_idle(keys, now_s)
+            if self.share_state.capacities is not None:
+                self.share_state.capacities.forget_except(
+                    {engine_key_hash(key) for key in keys}
+                )
         if self.gateway.admission is not None:
             self.gateway.admission.handle_engine_update()
 
@@ -316,6 +322,28 @@
         )
         self.urgent_update.set()
 
+    def record_capacity_change(self, change: CapacityChange) -> None:
+        """Log a large change of what an engine is believed to handle."""
+        logging.info(
+            'event=engine_capacity engine=%s concurrency=%.1f speed=%.2f '
+            'previous_concurrency=%.1f previous_speed=%.2f samples=%d '
+            'source=%s',
+            self.keyed_engine_name(change.server),
+            change.concurrency,
+            change.speed,
+            change.previous_concurrency,
+            change.previous_speed,
+            change.samples,
+            change.source,
+        )
+
+    def keyed_engine_name(self, server: int) -> str:
+        """Return the name of an engine by the id of its start and replica."""
+        for record in self.view.records():
+            if engine_key_hash(engine_key(record)) == server:
+                return record.engine
+        return f'unlisted-{server:08x}'
+
     def engine_name(self, engine: int) -> str:
         """Return the name of an engine by the id of its start."""
         for record in self.view.records():
@@ -402,7 +430,13 @@
     )
     dispatcher = Dispatcher(
         EngineSelector(
-            view, activity, random, settings.daemon.availability_zone
+            view,
+            activity,
+            random,
+            settings.daemon.availability_zone,
+            capacities=CapacityBook(random)
+            if settings.capacity.learn
+            else None,
         ),
         ports.backend,
         activity,
@@ -423,6 +457,7 @@
         quarantine=quarantine,
         limits=dispatcher.selector.limiter.table,
         evacuations=dispatcher.selector.evacuations,
+        capacities=dispatcher.selector.capacities,
     )
     gateway = Gateway(ports.decoder, routing, dispatcher, clock, random)
     gateway.is_informed = lambda: share_state.informed
@@ -461,6 +496,7 @@
     node.evacuations.on_change = node.handle_evacuation_change
     _connect_limits(node)
     _connect_relay(node, dispatcher)
+    _connect_capacities(node)
     if settings.admission.queue:
         dispatcher.admission = _admission_gate(node, dispatcher)
     return node
@@ -482,6 +518,18 @@
     return gate
 
 
+def _connect_capacities(node: GatewayNode) -> None:
+    """Connect learned capacities with the daemon's state."""
+    capacities = node.share_state.capacities
+    if capacities is None:
+        return
+    capacities.on_change = node.record_capacity_change
+    capacities.probes.daemon_count = node.live_daemons
+    capacities.was_delayed = lambda now_s: node.loop_delay.was_delayed_since(
+        now_s - DELAY_SETTLE_S
+    )
+
+
 def _connect_limits(node: GatewayNode) -> None:
     """Connect what engines say of themselves with the daemon's state."""
     limiter = node.limiter
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -12,12 +12,17 @@
 
 import attrs
 
+from yuccavalve.capacity import CapacityBook
 from yuccavalve.clock import Clock
 from yuccavalve.const import PROTOCOL_VERSION
 from yuccavalve.evacuation import EvacuationState
 from yuccavalve.fleet.activity import Activity, engine_key_hash
 from yuccavalve.fleet.const import SHARE_MAX_AGE_S
 from yuccavalve.membership import Member, Roster
+from yuccavalve.peers.capacity_news import (
+    decode_capacities,
+    encode_capacities,
+)
 from yuccavalve.peers.cells import (
     LoadTotals,
     add_loads,
@@ -125,6 +130,8 @@
         Limits that engines have named.
     evacuations
         Zones whose servers get no new requests.
+    capacities
+        Learned capacities of engines; None if this daemon does not learn.
     """
 
     roster: Roster
@@ -143,6 +150,7 @@
     quarantine: RequestQuarantine = attrs.field(factory=RequestQuarantine)
     limits: LimitTable = attrs.field(factory=LimitTable)
     evacuations: EvacuationState = attrs.field(factory=EvacuationState)
+    capacities: CapacityBook | None = None
     _sequence: int = 0
     _updates: dict[str, DaemonUpdate] = attrs.field(factory=dict)
     _followers: dict[str, float] = attrs.field(factory=dict)
@@ -174,6 +182,7 @@
             evacuations=encode_evacuations(
                 self.evacuations, self.clock.now_s()
             ),
+            capacities=encode_capacities(self.capacities, self.clock.now_s()),
         )
         if follows or not self._reports_cell():
             return message
@@ -201,6 +210,7 @@
             evacuations=encode_evacuations(
                 self.evacuations, self.clock.now_s()
             ),
+            capacities=encode_capacities(self.capacities, self.clock.now_s()),
         )
         if not request.follows:
             self._followers.pop(request.sender.member.member, None)
@@ -270,6 +280,12 @@
         )
         if apply_evacuations(self.evacuations, message, sent_at_s):
             urgent = True
+        if self.capacities is not None:
+            self.capacities.apply(
+                decode_capacities(message.capacities, sent_at_s),
+                self.clock.now_s(),
+                sender.member.member,
+            )
         return urgent or self.quarantine.take_urgent_news()
 
     def has_followers(self) -> bool:
