End a partition by probes of a single engine

The end required two different engines among the last three probes. With one engine left that could be reached, every other probe failed or went to the same one, and the daemon stayed partitioned. Two connected probes suffice.

--- a/tests/relay/test_detector.py
+++ b/tests/relay/test_detector.py
@@ -87,6 +87,18 @@
         self.detector.check(13)
         self.assertFalse(self.detector.partitioned)
 
+    def test_partition_ends_if_a_single_engine_is_left(self) -> None:
+        """Guards against relaying for ever after all others were lost."""
+        self._fail([_target(number) for number in range(4)])
+        self.detector.check(10.2)
+        outcomes = [(0, None), (1, ContactFailure.REFUSED), (0, None)]
+        ended = []
+        for number, (engine, failure) in enumerate(outcomes):
+            at_s = 11 + number * 0.25
+            self.detector.record_probe(_target(engine), failure, at_s, at_s)
+            ended.append(self.detector.check(at_s) is not None)
+        self.assertEqual(ended, [False, False, True])
+
     def test_partition_ends_when_two_engines_are_reached(self) -> None:
         self._fail([_target(number) for number in range(4)])
         self.detector.check(10.2)
--- a/yuccavalve/relay/detector.py
+++ b/yuccavalve/relay/detector.py
@@ -192,12 +192,12 @@
         return PartitionChange(True, self._cause())
 
     def _check_end(self, now_s: float) -> PartitionChange | None:
-        connected = {engine for engine, is_up in self._probed if is_up}
+        connected = [engine for engine, is_up in self._probed if is_up]
         if len(connected) < END_CONNECTED:
             return None
         self._change(False, now_s)
         self._failures.clear()
-        names = ' '.join(sorted(connected))
+        names = ' '.join(sorted(set(connected)))
         return PartitionChange(False, f'probes connected to {names}')
 
     def _change(self, partitioned: bool, now_s: float) -> None:
