Refuse waiting requests with ENGINES_UNREACHABLE in a partition

A request that another daemon had relayed and that waited in the admission queue was refused with NO_REPLICA when this daemon was found partitioned. The relaying daemon passed that on to the caller instead of trying the next daemon.

--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -82,6 +82,7 @@
     (
         ResultCode.NO_REPLICA,
         ResultCode.BACKEND_UNREACHABLE,
+        ResultCode.ENGINES_UNREACHABLE,
         ResultCode.RETRY_BUDGET_SPENT,
         ResultCode.STREAM_BROKEN,
     )
--- a/yuccavalve/gateway/waiting.py
+++ b/yuccavalve/gateway/waiting.py
@@ -293,12 +293,13 @@
     def refuse_unreachable(self) -> None:
         """Refuse what waits, since this daemon reaches no engine.
 
-        Its neighbors take over what may be relayed.
+        Its neighbors take over what may be relayed. The result code of a
+        request that another daemon relays tells that daemon to try the next.
         """
         for request in self.queue:
             self.queue.remove(request)
             error = RequestRefusedError(
-                ResultCode.NO_REPLICA,
+                ResultCode.ENGINES_UNREACHABLE,
                 'this daemon reaches no engine',
                 jittered_retry_s(self.random, RETRY_AFTER_NOT_READY_S),
             )
