Let requests wait for an engine once a suspected partition is refuted

While connections to two groups of engines had failed, requests that no engine took were refused at once instead of entering the admission queue, also when this daemon turned out not to be partitioned.

--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -170,12 +170,6 @@
             return False
         return not routed.may_have_run or _is_repeatable(routed)
 
-    def _prefers_neighbors(self, routed: RoutedRequest) -> bool:
-        """Return whether to relay rather than to wait for an engine."""
-        if self.relay is None or routed.relayed:
-            return False
-        return self.reach.doubtful
-
     async def _async_is_partitioned(
         self, routed: RoutedRequest, error: RequestRefusedError
     ) -> bool:
@@ -242,12 +236,8 @@
         service: ServiceProfile,
     ) -> EngineRecord:
         """Return an engine; nothing may be awaited until its run begins."""
-        now_s = self.clock.now_s()
         try:
-            if self.admission is None or self._prefers_neighbors(routed):
-                engine = self.selector.choose(service, routed, now_s)
-            else:
-                engine = await self.admission.async_choose(routed, service)
+            engine = await self._async_find(routed, service)
         except RequestRefusedError as error:
             if routed.may_have_run or routed.response_began:
                 raise _broken(routed, str(error)) from error
@@ -256,6 +246,26 @@
         routed.tried.append(engine.engine)
         return engine
 
+    async def _async_find(
+        self,
+        routed: RoutedRequest,
+        service: ServiceProfile,
+    ) -> EngineRecord:
+        """Return an engine, after a wait in the admission queue if need be.
+
+        A suspected partition is decided before the request enters the queue.
+        """
+        if self.admission is None:
+            return self.selector.choose(service, routed, self.clock.now_s())
+        may_be_cut_off = self.relay is not None and not routed.relayed
+        if may_be_cut_off and self.reach.doubtful:
+            try:
+                return self.selector.choose(service, routed, self.clock.now_s())
+            except RequestRefusedError as error:
+                if await self._async_is_partitioned(routed, error):
+                    raise
+        return await self.admission.async_choose(routed, service)
+
     async def _async_attempt(
         self,
         routed: RoutedRequest,
