Name the method that lists engines as it is when capacity is learned

The merge of the admission queue renamed it to candidates. With '[capacity] learn = true' every choice raised AttributeError. Six tests of tests/capacity failed because of it.

--- a/yuccavalve/gateway/selection.py
+++ b/yuccavalve/gateway/selection.py
@@ -357,7 +357,7 @@
         capacities.now_s = now_s
         key = times_key(service, routed)
         if capacities.is_regroup_due(key, now_s):
-            candidates = self._candidates(service, routed.inbound.model)
+            candidates = self.candidates(service, routed.inbound.model)
             capacities.regroup(
                 key,
                 [engine_key_hash(engine_key(each)) for each in candidates],
