Leave evacuated engines out of what waiting requests expect

The forecast counted their free slots, so requests waited for engines that may not be used, and their Retry-After named a time that was too early.

--- /dev/null
+++ b/tests/gateway/test_waiting.py
@@ -0,0 +1,33 @@
+"""Waits for engines that are evacuated, limited or cold."""
+
+import unittest
+
+from tests.support.admission_model import AdmissionModel
+from tests.support.queue_model import head_record
+from yuccavalve.evacuation import EvacuationNews
+from yuccavalve.fleet.activity import EngineRun, engine_key
+
+
+class WaitingTest(unittest.TestCase):
+    """One daemon and a replica in zone a."""
+
+    def setUp(self) -> None:
+        """Open the replica."""
+        self.model = AdmissionModel(queue=True)
+        self.selector = self.model.daemons[0].selector
+
+    def test_engines_of_evacuated_zones_are_not_expected_to_serve(self) -> None:
+        """Guards against waiting for free slots that may not be used."""
+        self.model.listed['n1'] = head_record('n1', 'b')
+        self.model.open('n0')
+        news = EvacuationNews(1, frozenset('b'), 0)
+        self.selector.evacuations.apply_news(news)
+        slots = self.model.service.engine.slots
+        for _ in range(slots):
+            key = engine_key(self.model.listed['n0'])
+            self.selector.activity.begin(EngineRun(key, 0, streams=True))
+        pools = self.model.daemons[0].gate.pools
+        pools.add(('llm', 'm6'), self.model.service, 0)
+        forecast = pools.forecast(('llm', 'm6'), 0)
+        self.assertEqual(forecast.free, 0)
+        self.assertGreater(forecast.engine_wait_s, 0)
--- a/yuccavalve/gateway/forecasts.py
+++ b/yuccavalve/gateway/forecasts.py
@@ -17,6 +17,7 @@
 from yuccavalve.gateway.models import RoutedRequest
 from yuccavalve.gateway.selection import EngineSelector, slots
 from yuccavalve.load import QueuedRequest, expected_wait_s
+from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.routing import ServiceProfile
 
 __all__ = ('PoolForecasts',)
@@ -117,7 +118,7 @@
         """Return when a pool without a sound engine gets one, and why."""
         pool = self._pools[key]
         expected = pool.repairs.expected_s(now_s)
-        records = self.selector.candidates(pool.service, key[1])
+        records = self._open_records(key)
         ends_s = [
             self.selector.activity.suspect_until_s(engine_key(each)) - now_s
             for each in records
@@ -130,10 +131,21 @@
             return None, 'nothing is being repaired or formed'
         return max(SOON_S, expected[0]), expected[1]
 
+    def _open_records(self, key: PoolKey) -> list[EngineRecord]:
+        """Return the engines that are not in an evacuated zone."""
+        evacuations = self.selector.evacuations
+        return [
+            each
+            for each in self.selector.candidates(
+                self._pools[key].service, key[1]
+            )
+            if not evacuations.is_evacuated(each.availability_zone)
+        ]
+
     def _engines(self, key: PoolKey, now_s: float) -> PoolEngines:
         pool = self._pools[key]
         activity = self.selector.activity
-        records = self.selector.candidates(pool.service, key[1])
+        records = self._open_records(key)
         pool.slots = max(
             (slots(pool.service, each) for each in records),
             default=pool.slots,
