--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -2,10 +2,12 @@
 
 import unittest
 
-from tests.support.admission_model import AdmissionModel
+from tests.support.admission_model import AdmissionModel, Call
 from tests.support.queue_model import head_record
 from yuccavalve.evacuation import EvacuationNews
-from yuccavalve.fleet.activity import EngineRun, engine_key
+from yuccavalve.fleet.activity import EngineRun, engine_key, process_hash
+from yuccavalve.results import ResultCode
+from yuccavalve.warmup import WarmupLimit
 
 
 class WaitingTest(unittest.TestCase):
@@ -31,3 +33,25 @@
         forecast = pools.forecast(('llm', 'm6'), 0)
         self.assertEqual(forecast.free, 0)
         self.assertGreater(forecast.engine_wait_s, 0)
+
+    def test_named_limit_is_not_waited_for_while_another_engine_is_cold(
+        self,
+    ) -> None:
+        """Guards against waits due to cold engines of other services."""
+        table = self.selector.limiter.table
+        table.record_named(process_hash(self.model.listed['n0']), 2, 0)
+        table.warmups.apply(WarmupLimit(1, 27, 10), 0)
+        call = Call(0.5)
+        self.model.play([call], 5)
+        self.assertEqual(call.codes, [ResultCode.ENGINES_LIMITED])
+        self.assertEqual(call.decided_s, [0])
+
+    def test_permit_of_a_cold_engine_is_waited_for(self) -> None:
+        """Guards against refusals some tenths before a permit arrives."""
+        table = self.selector.limiter.table
+        engine = process_hash(self.model.listed['n0'])
+        table.warmups.apply(WarmupLimit(engine, 27, 1), 0)
+        call = Call(0.5)
+        self.model.play([call], 5)
+        self.assertEqual(call.codes, [])
+        self.assertIsNotNone(call.began_s)
--- a/yuccavalve/gateway/waiting.py
+++ b/yuccavalve/gateway/waiting.py
@@ -37,7 +37,7 @@
 )
 from yuccavalve.clock import Clock
 from yuccavalve.exceptions import RequestRefusedError
-from yuccavalve.fleet.activity import EngineRun, engine_key
+from yuccavalve.fleet.activity import EngineRun, engine_key, process_hash
 from yuccavalve.gateway.const import RETRY_AFTER_NOT_READY_S
 from yuccavalve.gateway.forecasts import PoolForecasts
 from yuccavalve.gateway.models import RoutedRequest
@@ -205,13 +205,19 @@
         try:
             engine = self.selector.choose(service, routed, now_s)
         except RequestRefusedError as error:
-            if not self._is_worth_waiting(error):
+            if not self._is_worth_waiting(error, key, service, now_s):
                 raise
             return None
         self.pools.record_taken(key, service, now_s)
         return engine
 
-    def _is_worth_waiting(self, error: RequestRefusedError) -> bool:
+    def _is_worth_waiting(
+        self,
+        error: RequestRefusedError,
+        key: PoolKey,
+        service: ServiceProfile,
+        now_s: float,
+    ) -> bool:
         """Return whether an engine may soon take a request after a refusal.
 
         Permits of cold engines arrive within some tenths of a second, those of
@@ -219,9 +225,10 @@
         """
         if error.code in _WORTH_WAITING:
             return True
-        limits = self.selector.limiter.table
-        is_limited = error.code is ResultCode.ENGINES_LIMITED
-        return is_limited and limits.warmups.has_limits
+        return error.code is ResultCode.ENGINES_LIMITED and any(
+            self.selector.limiter.is_cold(process_hash(each), now_s)
+            for each in self.selector.candidates(service, key[1])
+        )
 
     def enter(
         self,
