Let requests wait for replicas outside of evacuated zones

Cause: a request was refused at once while all replicas of its model were in evacuated zones, although others may form elsewhere in a second or two. Change: it enters the admission queue, which refuses it at once with the same code if nothing is forming. Measured: the new test and those of gateway, admission and evacuation pass.

--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -55,3 +55,15 @@
         self.model.play([call], 5)
         self.assertEqual(call.codes, [])
         self.assertIsNotNone(call.began_s)
+
+    def test_evacuated_zones_are_a_reason_to_wait_only_for_other_zones(
+        self,
+    ) -> None:
+        """Guards against waiting for replicas that may not be used."""
+        self.model.open('n0')
+        zone = self.model.listed['n0'].availability_zone
+        news = EvacuationNews(1, frozenset((zone,)), 0)
+        self.selector.evacuations.apply_news(news)
+        call = Call(0.5)
+        self.model.play([call], 5)
+        self.assertEqual(call.codes, [ResultCode.ZONE_EVACUATED])
--- a/yuccavalve/gateway/waiting.py
+++ b/yuccavalve/gateway/waiting.py
@@ -51,7 +51,14 @@
 _Chosen = asyncio.Future[EngineRun | RequestRefusedError]
 
 _MS = 1000
-_WORTH_WAITING = frozenset((ResultCode.NO_REPLICA, ResultCode.QUEUE_FULL))
+_WORTH_WAITING = frozenset(
+    (
+        ResultCode.NO_REPLICA,
+        ResultCode.QUEUE_FULL,
+        # Replicas may be forming in other zones.
+        ResultCode.ZONE_EVACUATED,
+    )
+)
 # An engine's limit is no reason to refuse a request that waits already.
 _WORTH_STAYING = _WORTH_WAITING | {ResultCode.ENGINES_LIMITED}
 
