--- a/script/tools/soak/runner.py
+++ b/script/tools/soak/runner.py
@@ -149,6 +149,7 @@
                         'listen.ready': _ANY_PORT,
                         'listen.directory': _ANY_PORT,
                         'internal_ports.0': free_address().rpartition(':')[2],
+                        'internal_ports.1': free_address().rpartition(':')[2],
                         'platform.address': link.address,
                         'bounds.grace_s': str(_GRACE_PERIOD_S),
                     },
