--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -226,6 +227,13 @@
             else:
                 raise CannotRunError(f'front-{daemon} serves nothing')
 
+    def remove_logs(self) -> None:
+        """Remove settings and logs of the daemons, unless they are wanted."""
+        if os.environ.get('KEEP_LOGS'):
+            print(self._folder)
+        else:
+            shutil.rmtree(self._folder, ignore_errors=True)
+
     async def async_close(self) -> None:
         """End all processes."""
         for process in self.processes:
@@ -254,8 +262,7 @@
             return 2
         finally:
             await stage.async_close()
-            if os.environ.get('KEEP_LOGS'):
-                print(stage._folder)
+            stage.remove_logs()
         for text in broken:
             stage.record.add(f'BROKEN {text}')
             print(f'BROKEN {text}')
