--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 from tests.platform.standin import EngineOptions, EngineStandin
 
 SIZE = 3
-ENGINES = 4
+ENGINES = 8
 DAEMONS = 3
 SILENT_S = 1.2
 # It serves for drain_ms, which is 2000, and a little longer.
@@ -105,11 +105,14 @@
             await asyncio.sleep(0.4)
 
     await async_load(stage.record.now_s() + 2)
-    (head,) = [
+    heads = [
         name
         for name, engine in fleet.engines.items()
         if engine.group is not None and engine.group.state == 'open'
     ]
+    if not heads:
+        raise stages.CannotRunError('no group is open')
+    head = heads[0]
     engine = fleet.engines[head]
     stage.record.add(f'{head} removes its entry and serves on')
     await fleet.async_withdraw(head)
