Refuse requests that a planned stop may cut before they are passed on

Callers of a stopping daemon whose requests came late in the grace time got a 502 or a closed connection when it ended, once-only requests too.

Cause: new streams were accepted for 0.375 of the grace time and other requests for 0.69, whatever their deadlines. Requests that had arrived before the signal, with a body still on its way, were passed on at any time.

One that an engine may run goes on. Answers close their connection as soon as the daemon stops, also those of requests that came before.

The test of the admission queue begins the stop by a bound instead of by kind; it asks for the same refusals at the same time.

--- a/tests/admission/test_decisions.py
+++ b/tests/admission/test_decisions.py
@@ -149,8 +149,8 @@
     def test_stopping_daemon_refuses_what_waits(self) -> None:
         model = AdmissionModel(queue=True)
         model.after(1, lambda: model.lose('n0'))
-        gate = model.daemons[0].gate
-        model.after(1.5, lambda: gate.refuse_new(streams_only=True))
+        daemon = model.daemons[0]
+        model.after(1.5, lambda: daemon.begin_stop(answer_until_s=5))
         calls = [Call(0.5), Call(1.2), Call(1.6)]
         model.play(calls, 30)
         for call in calls[1:]:
--- a/tests/daemon/test_entry_directory.py
+++ b/tests/daemon/test_entry_directory.py
@@ -9,7 +9,7 @@
 from yuccavalve.clock import ManualClock
 from yuccavalve.daemon.entry_directory import MAX_ADDRESSES, EntryDirectory
 from yuccavalve.fleet.activity import Activity
-from yuccavalve.gateway.server import GatewayStop
+from yuccavalve.gateway.stopping import GatewayStop
 from yuccavalve.membership import Member, Roster
 from yuccavalve.peers import ShareState
 from yuccavalve.routing import RoutingState
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -10,6 +10,7 @@
 
 from tests.platform.standin import FleetStandin
 from yuccavalve.adapters.exchange import HttpAnswer, HttpCall, async_exchange
+from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
 from yuccavalve.daemon.gateway_node import GatewayNode, build_gateway_node
 from yuccavalve.daemon.gateway_runner import GatewayDaemon
 from yuccavalve.observability.explain import read_lines
@@ -20,6 +21,7 @@
     'Answer',
     'Caller',
     'DaemonRun',
+    'KeptConnection',
     'async_listening',
     'async_stop_all',
     'async_until',
@@ -124,6 +126,71 @@
         return Answer(answer.status, dict(answer.headers), body)
 
 
+class KeptConnection:
+    """A connection on which a caller sends one request after another."""
+
+    def __init__(self, caller: Caller) -> None:
+        """Open the connection with the first request."""
+        self._caller = caller
+        self._writer: asyncio.StreamWriter | None = None
+        self._reader: asyncio.StreamReader | None = None
+
+    async def async_call(self, target: str, request_id: str) -> Answer:
+        """Send a request without a body, and return its whole answer.
+
+        Raises
+        ------
+        BackendNotReachedError
+            When no connection can be made.
+        BackendLostError
+            When the connection ends before the answer does.
+        """
+        reader, writer = await self._async_connection()
+        lines = [
+            f'GET {target} HTTP/1.1',
+            'host: h.example',
+            f'request-id: {request_id}',
+            f'x-api-key: {self._caller.key}',
+        ]
+        try:
+            writer.write('\r\n'.join((*lines, '', '')).encode())
+            head = await reader.readuntil(b'\r\n\r\n')
+            status, headers = _parse_head(head)
+            body = await reader.readexactly(int(headers[b'content-length']))
+        except (OSError, EOFError) as error:
+            self.close()
+            raise BackendLostError(repr(error)) from error
+        if headers.get(b'connection') == b'close':
+            self.close()
+        return Answer(status, headers, body)
+
+    def close(self) -> None:
+        """Close the connection; the next request opens another."""
+        if self._writer is not None:
+            self._writer.close()
+        self._writer = None
+
+    async def _async_connection(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._writer is None or self._reader is None:
+            host, _, port = self._caller.address.rpartition(':')
+            try:
+                self._reader, self._writer = await asyncio.open_connection(
+                    host, int(port)
+                )
+            except OSError as error:
+                raise BackendNotReachedError(repr(error)) from error
+        return self._reader, self._writer
+
+
+def _parse_head(head: bytes) -> tuple[int, dict[bytes, bytes]]:
+    status_line, *lines = head.rstrip().split(b'\r\n')
+    fields = (line.partition(b': ') for line in lines)
+    headers = {name.lower(): text for name, _, text in fields}
+    return int(status_line.split()[1]), headers
+
+
 class DaemonRun:
     """A gateway daemon that runs in the event loop of the test."""
 
@@ -143,6 +210,11 @@
         """Return the address at which the daemon accepts callers."""
         return self.node.roster.local_member.caller_address
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the daemon has not ended."""
+        return self._task is not None and not self._task.done()
+
     async def async_start(self) -> None:
         """Start the daemon and wait until it is ready."""
         self._task = asyncio.create_task(self.daemon.async_run())
--- a/tests/support/admission_model.py
+++ b/tests/support/admission_model.py
@@ -28,6 +28,7 @@
 from yuccavalve.gateway.forecasts import PoolForecasts
 from yuccavalve.gateway.models import InboundRequest, RoutedRequest
 from yuccavalve.gateway.selection import EngineSelector
+from yuccavalve.gateway.stopping import GatewayStop
 from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.ports.fleet import EngineChanges
 from yuccavalve.results import ResultCode
@@ -75,6 +76,13 @@
     activity: Activity
     selector: EngineSelector
     gate: AdmissionGate | None
+    stop: GatewayStop = attrs.field(factory=GatewayStop)
+
+    def begin_stop(self, answer_until_s: float) -> None:
+        """Begin a planned stop."""
+        self.stop.begin(answer_until_s)
+        if self.gate is not None:
+            self.gate.refuse_leaving()
 
 
 @attrs.define
@@ -202,6 +210,7 @@
             service='llm',
             fingerprint=id(call),
             deadline_at_s=now_s + 20,
+            stop=daemon.stop,
         )  # fmt: skip
         try:
             if daemon.gate is None:
--- a/yuccavalve/daemon/entry_directory.py
+++ b/yuccavalve/daemon/entry_directory.py
@@ -5,7 +5,7 @@
 import attrs
 
 from yuccavalve.clock import Clock
-from yuccavalve.gateway.server import GatewayStop
+from yuccavalve.gateway.stopping import GatewayStop
 from yuccavalve.membership import Roster
 from yuccavalve.peers import ShareState
 
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -34,10 +34,9 @@
 )
 from yuccavalve.gateway.const import (
     KEEP_ALIVE_S,
-    STOP_ACCEPT_OTHERS_FRACTION,
-    STOP_ACCEPT_STREAMS_FRACTION,
     STOP_CANCEL_FRACTION,
     STOP_CLOSE_FRACTION,
+    STOP_LISTEN_FRACTION,
 )
 from yuccavalve.observability.logs import LogRateLimiter
 from yuccavalve.peers import PeerServer, ShareServicer
@@ -312,18 +311,16 @@
         logging.warning(
             'event=stopping in_flight=%d', len(node.gateway.running)
         )
-        node.gateway.stop.stopping = True
+        cancel_at_s = self._stop_at_s(signalled_at_s, STOP_CANCEL_FRACTION)
+        node.gateway.begin_stop(cancel_at_s)
         node.roster.local_member = attrs.evolve(
             node.roster.local_member, leaving=True
         )
         node.urgent_update.set()
         hand_over = asyncio.create_task(self._async_hand_over())
         self._tasks.append(hand_over)
-        await self._async_refuse_from(
-            signalled_at_s, STOP_ACCEPT_STREAMS_FRACTION, streams_only=True
-        )
-        await self._async_refuse_from(
-            signalled_at_s, STOP_ACCEPT_OTHERS_FRACTION, streams_only=False
+        await asyncio.sleep(
+            self._remaining_s(signalled_at_s, STOP_LISTEN_FRACTION)
         )
         idle = asyncio.create_task(node.gateway.running.async_wait_idle())
         remaining_s = self._remaining_s(signalled_at_s, STOP_CANCEL_FRACTION)
@@ -345,15 +342,12 @@
 
     def _remaining_s(self, signalled_at_s: float, fraction: float) -> float:
         """Return the time until a fraction of the grace time has passed."""
-        at_s = signalled_at_s + self._node.settings.bounds.grace_s * fraction
+        at_s = self._stop_at_s(signalled_at_s, fraction)
         return max(0, at_s - self._node.clock.now_s())
 
-    async def _async_refuse_from(
-        self, signalled_at_s: float, fraction: float, *, streams_only: bool
-    ) -> None:
-        """Refuse new requests once a fraction of the grace time has passed."""
-        await asyncio.sleep(self._remaining_s(signalled_at_s, fraction))
-        self._node.gateway.refuse_new(streams_only=streams_only)
+    def _stop_at_s(self, signalled_at_s: float, fraction: float) -> float:
+        """Return when a fraction of the grace time has passed."""
+        return signalled_at_s + self._node.settings.bounds.grace_s * fraction
 
     async def _async_hand_over(self) -> None:
         try:
--- a/yuccavalve/gateway/const.py
+++ b/yuccavalve/gateway/const.py
@@ -30,11 +30,11 @@
 RETRY_AFTER_BUSY_S: Final = 0.4
 RETRY_AFTER_NOT_READY_S: Final = 0.5
 RETRY_AFTER_JITTER: Final = 0.5
-# Fractions of the grace time after SIGTERM during which new streams and other
-# new requests are accepted. Streams last some seconds, other requests less
-# than one, so these are accepted for longer.
-STOP_ACCEPT_STREAMS_FRACTION: Final = 0.375
-STOP_ACCEPT_OTHERS_FRACTION: Final = 0.69
+# Other daemons can serve at once what a stopping one refuses.
+RETRY_AFTER_LEAVING_S: Final = 0
+# Fraction of the grace time after SIGTERM for which a daemon listens at least,
+# so that callers with an old answer of the entry directory get a refusal.
+STOP_LISTEN_FRACTION: Final = 0.69
 # How long after a daemon's start requests wait for it to read routes and
 # engines. That takes some tenths of a second unless the store is unavailable.
 STARTUP_WAIT_S: Final = 1.5
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -37,6 +37,7 @@
     MIN_ATTEMPT_S,
     RETRY_AFTER_BUSY_S,
 )
+from yuccavalve.gateway.leaving import check_leaving
 from yuccavalve.gateway.models import RequestRelay, RoutedRequest
 from yuccavalve.gateway.outcomes import AttemptOutcomes
 from yuccavalve.gateway.respond import (
@@ -239,6 +240,7 @@
         previous: Attempt | None,
     ) -> Attempt:
         """Return the next attempt, or raise the final error."""
+        check_leaving(routed)
         if previous is not None:
             self._check_retry(routed, previous)
         now_s = self.clock.now_s()
@@ -607,12 +609,12 @@
             deadline_s=routed.deadline_at_s - self.clock.now_s(),
             priority=_engine_priority(routed, attempt),
             resume_after=resume_after,
-            may_send=lambda: self._may_send(attempt),
+            may_send=lambda: self._may_send(routed, attempt),
             created_at_s=self.clock.now_s(),
         )
 
-    def _may_send(self, attempt: Attempt) -> bool:
-        if self.outcomes.is_evacuated(attempt):
+    def _may_send(self, routed: RoutedRequest, attempt: Attempt) -> bool:
+        if routed.must_leave or self.outcomes.is_evacuated(attempt):
             return False
         attempt.is_sent = self.selector.limiter.may_send(
             process_hash(attempt.engine), attempt.permit, self.clock.now_s()
--- a/yuccavalve/gateway/models.py
+++ b/yuccavalve/gateway/models.py
@@ -9,6 +9,7 @@
 from yuccavalve.exceptions import RequestRefusedError
 from yuccavalve.gateway.attempt import Attempt
 from yuccavalve.gateway.const import NOT_RUN_STATUSES
+from yuccavalve.gateway.stopping import GatewayStop
 from yuccavalve.ports.backend import BodyFraming, HeaderFields
 from yuccavalve.prompts import PromptParts
 from yuccavalve.results import ResultCode
@@ -165,6 +166,8 @@
     stalled
         Attempts at silent engines, of which one is continued if no other
         engine takes the request over.
+    stop
+        Planned stop of this daemon.
     """
 
     inbound: InboundRequest
@@ -194,11 +197,11 @@
     framing: BodyFraming = BodyFraming.UNKNOWN
     partial_event_bytes: int = 0
     cause: str = ''
-    close_connection: bool = False
     relayed: bool = False
     has_unused_retry: bool = False
     passed_result: ResultCode = ResultCode.ANSWERED
     stalled: list[Attempt] = attrs.field(factory=list)
+    stop: GatewayStop = attrs.field(factory=GatewayStop)
 
     @property
     def suspects(self) -> tuple[int, ...]:
@@ -210,6 +213,16 @@
         """Return whether an answer has begun that can't be continued."""
         return self.response_began and self.response_head is None
 
+    @property
+    def must_leave(self) -> bool:
+        """Return whether another daemon has to serve the request.
+
+        One that an engine may run already goes on here.
+        """
+        if self.may_have_run or self.response_began:
+            return False
+        return self.stop.may_cut(self.deadline_at_s)
+
     def can_continue(self, status: int, headers: HeaderFields) -> bool:
         """Return whether an answer may follow what the caller was sent.
 
--- a/yuccavalve/gateway/respond.py
+++ b/yuccavalve/gateway/respond.py
@@ -27,7 +27,7 @@
 ) -> None:
     """Send the status and headers of an answer."""
     fields = list(headers)
-    if routed.close_connection:
+    if routed.stop.stopping:
         fields.append((b'connection', b'close'))
     routed.response_began = True
     routed.response_head = AnswerKind.from_head(status, headers)
--- a/yuccavalve/gateway/server.py
+++ b/yuccavalve/gateway/server.py
@@ -5,7 +5,6 @@
 from random import Random
 from typing import Any
 
-import attrs
 from absl import logging
 
 from yuccavalve.access import key_digest
@@ -15,12 +14,14 @@
 from yuccavalve.gateway.budget import ServiceRetryBudgets
 from yuccavalve.gateway.const import (
     MAX_DEADLINE_S,
+    RETRY_AFTER_LEAVING_S,
     RETRY_AFTER_NO_REPLICA_S,
     RETRY_AFTER_NOT_READY_S,
     STARTUP_POLL_S,
     STARTUP_WAIT_S,
 )
 from yuccavalve.gateway.dispatch import Dispatcher
+from yuccavalve.gateway.leaving import check_leaving
 from yuccavalve.gateway.models import (
     RELAY_SCOPE_KEY,
     Delivery,
@@ -33,43 +34,23 @@
 )
 from yuccavalve.gateway.respond import async_send_refusal
 from yuccavalve.gateway.selection import jittered_retry_s
+from yuccavalve.gateway.stopping import GatewayStop
 from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.inflight import InFlightRequests, async_read_body
 from yuccavalve.observability.metrics import Metrics, RequestMeasurement
 from yuccavalve.results import Outcome, ResultCode, outcome_from_code
 from yuccavalve.routing import (
-    RequestKind,
     Route,
     RoutingState,
     RoutingTable,
     ServiceProfile,
 )
 
-__all__ = ('Gateway', 'GatewayStop')
+__all__ = ('Gateway',)
 
 _MS = 1000
 
 
-@attrs.define
-class GatewayStop:
-    """Progress of a planned stop.
-
-    Attributes
-    ----------
-    stopping
-        Whether this daemon reports itself as not ready and closes
-        connections after each answer, so that callers use other daemons.
-    refusing_streams
-        Whether new streams are refused.
-    refusing
-        Whether new requests other than streams are refused.
-    """
-
-    stopping: bool = False
-    refusing_streams: bool = False
-    refusing: bool = False
-
-
 class Gateway:
     """ASGI application that serves callers' requests.
 
@@ -112,12 +93,11 @@
         """Return the queue of requests that no engine takes, if any."""
         return self._dispatcher.admission
 
-    def refuse_new(self, *, streams_only: bool) -> None:
-        """Refuse new requests, and those that wait for an engine."""
-        self.stop.refusing_streams = True
-        self.stop.refusing = self.stop.refusing or not streams_only
+    def begin_stop(self, answer_until_s: float) -> None:
+        """Refuse requests that may not end before a monotonic time."""
+        self.stop.begin(answer_until_s)
         if self.admission is not None:
-            self.admission.refuse_new(streams_only=streams_only)
+            self.admission.refuse_leaving()
 
     async def __call__(
         self,
@@ -128,8 +108,9 @@
         """Serve one request."""
         arrived_at_s = self._clock.now_s()
         inbound, refusal = self._decode(scope)
-        routed = RoutedRequest(inbound, receive, send, arrived_at_s)
-        routed.close_connection = self.stop.stopping
+        routed = RoutedRequest(
+            inbound, receive, send, arrived_at_s, stop=self.stop
+        )
         mark: RelayEntryMark | None = scope.get(RELAY_SCOPE_KEY)
         if mark is not None:
             routed.relayed = True
@@ -197,12 +178,12 @@
     ) -> None:
         table = await self._async_routes()
         route = self._resolve_route(table, routed)
-        self._check_stopping(route)
         timeout_s = min(
             route.timeout_s,
             routed.inbound.deadline_s or MAX_DEADLINE_S,
         )
         routed.deadline_at_s = routed.arrived_at_s + timeout_s
+        check_leaving(routed)
         loop = asyncio.get_running_loop()
         remaining_s = routed.deadline_at_s - self._clock.now_s()
         timer.reschedule(loop.time() + remaining_s)
@@ -232,12 +213,6 @@
         has_base = self._routing.table is not None and engines_read
         return has_base and self.is_informed()
 
-    def _check_stopping(self, route: Route) -> None:
-        streams = route.kind is RequestKind.STREAM
-        refused = self.stop.refusing_streams if streams else self.stop.refusing
-        if refused:
-            raise self._not_ready(ResultCode.MEMBER_LEAVING)
-
     def _not_ready(self, code: ResultCode) -> RequestRefusedError:
         return RequestRefusedError(
             code,
@@ -414,5 +389,5 @@
     if routed.sent_count or routed.may_have_run:
         return outcome_from_code(ResultCode.STOP_BOUND_REACHED)
     return outcome_from_code(
-        ResultCode.MEMBER_LEAVING, '', RETRY_AFTER_NOT_READY_S
+        ResultCode.MEMBER_LEAVING, '', RETRY_AFTER_LEAVING_S
     )
--- a/yuccavalve/gateway/waiting.py
+++ b/yuccavalve/gateway/waiting.py
@@ -40,6 +40,7 @@
 from yuccavalve.fleet.activity import EngineRun, engine_key, process_hash
 from yuccavalve.gateway.const import RETRY_AFTER_NOT_READY_S
 from yuccavalve.gateway.forecasts import PoolForecasts
+from yuccavalve.gateway.leaving import leaving_error
 from yuccavalve.gateway.models import RoutedRequest
 from yuccavalve.gateway.selection import EngineSelector, jittered_retry_s
 from yuccavalve.ports.fleet import EngineRecord
@@ -159,8 +160,6 @@
     _timer_at_s: float = math.inf
     _checked_at_s: float = -math.inf
     _estimated_at_s: float = -math.inf
-    _refuses_streams: bool = False
-    _refuses_others: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Learn of each run that ends."""
@@ -251,7 +250,7 @@
         now_s = self.clock.now_s()
         request = self._request(routed, service, resolve, now_s)
         self.pools.add(request.pool, service, now_s)
-        if self._refuses(request):
+        if routed.must_leave:
             self._refuse_leaving(request)
             return request
         for displaced in self.queue.push(request):
@@ -292,15 +291,13 @@
         self.pools.observe(self.clock.now_s())
         self.wake()
 
-    def refuse_new(self, *, streams_only: bool) -> None:
-        """Refuse what waits, as a stopping daemon refuses new requests.
+    def refuse_leaving(self) -> None:
+        """Refuse what waits and may outlast the stop of this daemon.
 
         Requests that an engine may have run go on waiting.
         """
-        self._refuses_streams = True
-        self._refuses_others = self._refuses_others or not streams_only
         for request in self.queue:
-            if self._refuses(request):
+            if request.context.routed.must_leave:
                 self.queue.remove(request)
                 self._refuse_leaving(request)
 
@@ -488,21 +485,8 @@
             )
         request.context.resolve(error)
 
-    def _refuses(self, request: WaitingRequest) -> bool:
-        waiter: _Waiter = request.context
-        if waiter.routed.may_have_run or waiter.routed.response_began:
-            return False
-        return (
-            self._refuses_streams
-            if _streams(waiter.routed)
-            else self._refuses_others
-        )
-
     def _refuse_leaving(self, request: WaitingRequest) -> None:
-        retry_after_s = jittered_retry_s(self.random, RETRY_AFTER_NOT_READY_S)
-        error = RequestRefusedError(
-            ResultCode.MEMBER_LEAVING, 'waited', retry_after_s
-        )
+        error = leaving_error('waited')
         self._resolve_refused(request, 'stopping', error)
 
     def _request(
--- a/yuccavalve/relay/sender.py
+++ b/yuccavalve/relay/sender.py
@@ -25,6 +25,7 @@
     MAX_ANSWER_BYTES,
     MIN_ATTEMPT_S,
 )
+from yuccavalve.gateway.leaving import check_leaving
 from yuccavalve.gateway.models import RoutedRequest
 from yuccavalve.gateway.respond import (
     async_pass_body,
@@ -153,6 +154,7 @@
                     ResultCode.DEADLINE_UNREACHABLE,
                     RETRY_AFTER_UNREACHABLE_S,
                 )
+            check_leaving(routed)
             neighbor = self.chooser.choose(relaying.tried, now_s)
             if neighbor is None:
                 break
