Cancel requests in flight shortly before the end of a planned stop

Callers whose requests were in flight at 0.84 of the grace time were cut with 16 in 100 of it unused, and those whose deadline lies in that part were refused. Closing takes as long after a long grace time as after a short one.

Requests are now cancelled 0.65 s and connections aborted 0.3 s before the end, or at a quarter of a grace time under 2.6 s.

--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -34,9 +34,10 @@
 )
 from yuccavalve.gateway.const import (
     KEEP_ALIVE_S,
-    STOP_CANCEL_FRACTION,
-    STOP_CLOSE_FRACTION,
+    STOP_CANCEL_MARGIN_S,
+    STOP_CLOSE_MARGIN_S,
     STOP_LISTEN_FRACTION,
+    STOP_MAX_MARGIN_FRACTION,
 )
 from yuccavalve.observability.logs import LogRateLimiter
 from yuccavalve.peers import PeerServer, ShareServicer
@@ -307,11 +308,15 @@
         remove this daemon's rows.
         """
         node = self._node
+        grace_s = node.settings.bounds.grace_s
         signalled_at_s = node.clock.now_s()
+        end_at_s = signalled_at_s + grace_s
+        cancel_at_s = end_at_s - min(
+            STOP_CANCEL_MARGIN_S, grace_s * STOP_MAX_MARGIN_FRACTION
+        )
         logging.warning(
             'event=stopping in_flight=%d', len(node.gateway.running)
         )
-        cancel_at_s = self._stop_at_s(signalled_at_s, STOP_CANCEL_FRACTION)
         node.gateway.begin_stop(cancel_at_s)
         node.roster.local_member = attrs.evolve(
             node.roster.local_member, leaving=True
@@ -320,11 +325,10 @@
         hand_over = asyncio.create_task(self._async_hand_over())
         self._tasks.append(hand_over)
         await asyncio.sleep(
-            self._remaining_s(signalled_at_s, STOP_LISTEN_FRACTION)
+            self._remaining_s(signalled_at_s + grace_s * STOP_LISTEN_FRACTION)
         )
         idle = asyncio.create_task(node.gateway.running.async_wait_idle())
-        remaining_s = self._remaining_s(signalled_at_s, STOP_CANCEL_FRACTION)
-        await asyncio.wait((idle,), timeout=remaining_s)
+        await asyncio.wait((idle,), timeout=self._remaining_s(cancel_at_s))
         if not idle.done():
             logging.warning(
                 'event=stop_bound in_flight=%d', len(node.gateway.running)
@@ -332,22 +336,16 @@
             node.gateway.running.cancel_all()
             await asyncio.wait((idle,), timeout=_CANCEL_WAIT_S)
         drain_s = max(
-            _MIN_DRAIN_S,
-            self._remaining_s(signalled_at_s, STOP_CLOSE_FRACTION),
+            _MIN_DRAIN_S, self._remaining_s(end_at_s - STOP_CLOSE_MARGIN_S)
         )
         await asyncio.gather(
             *(server.async_drain(drain_s) for server in self._servers)
         )
         logging.warning('event=stopped')
 
-    def _remaining_s(self, signalled_at_s: float, fraction: float) -> float:
-        """Return the time until a fraction of the grace time has passed."""
-        at_s = self._stop_at_s(signalled_at_s, fraction)
-        return max(0, at_s - self._node.clock.now_s())
-
-    def _stop_at_s(self, signalled_at_s: float, fraction: float) -> float:
-        """Return when a fraction of the grace time has passed."""
-        return signalled_at_s + self._node.settings.bounds.grace_s * fraction
+    def _remaining_s(self, until_s: float) -> float:
+        """Return the time until a monotonic time, 0 once it has passed."""
+        return max(0, until_s - self._node.clock.now_s())
 
     async def _async_hand_over(self) -> None:
         try:
--- a/yuccavalve/gateway/const.py
+++ b/yuccavalve/gateway/const.py
@@ -39,10 +39,13 @@
 # engines. That takes some tenths of a second unless the store is unavailable.
 STARTUP_WAIT_S: Final = 1.5
 STARTUP_POLL_S: Final = 0.02
-# Fraction of the grace time after which requests in flight are cancelled.
-STOP_CANCEL_FRACTION: Final = 0.84
-# Fraction after which the last connections are aborted.
-STOP_CLOSE_FRACTION: Final = 0.95
+# Times before the end of the grace time at which requests in flight are
+# cancelled and the last connections aborted. Both take a while on a slow
+# machine, however long the grace time is.
+STOP_CANCEL_MARGIN_S: Final = 0.65
+STOP_CLOSE_MARGIN_S: Final = 0.3
+# Most of the grace time that the first of these may take.
+STOP_MAX_MARGIN_FRACTION: Final = 0.25
 # Fraction of the retry budget that is used. The rest is a margin for retries
 # of other daemons that this daemon does not see.
 BUDGET_SAFETY_FACTOR: Final = 0.8
