Close the connections of a link when it is closed

Cause: Link.async_close cancelled the tasks that forward before they closed their connections, so writers were closed at the end of the interpreter, long after their event loops. Finished tasks were kept too.

No product code changes.

--- a/script/tools/link.py
+++ b/script/tools/link.py
@@ -1,7 +1,6 @@
 """A TCP proxy that can stop forwarding without closing connections."""
 
 import asyncio
-import contextlib
 
 __all__ = ('Link',)
 
@@ -74,6 +73,7 @@
                 self._async_pump(source, sink, name),
             )
             self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     async def _async_pump(
         self,
@@ -81,9 +81,12 @@
         sink: asyncio.StreamWriter,
         name: str,
     ) -> None:
-        with contextlib.suppress(OSError):
+        try:
             while chunk := await source.read(_READ_BYTES):
                 await self.async_wait_open(name)
                 sink.write(chunk)
                 await sink.drain()
-        sink.close()
+        except OSError:
+            return
+        finally:
+            sink.close()
