Answer callers that wait at the early socket when the daemon is stopped

Callers whose connections a starting daemon had accepted early were reset when it got SIGTERM during its imports.

Cause: without a running neighbor a daemon listens before its imports, and no handler of SIGTERM was installed before they ended. Now the signal is kept while the socket listens, and the daemon stops as planned once it can answer. Without the socket it still ends at once.

The new test of tests/platform/test_start.py gets ConnectionResetError on the earlier code.

The soak's calm schedule now holds planned stops, work of 0.8 s with deadlines that fit into a grace time or don't, and callers that keep their connections until the daemon closes them. A request that crosses the close of a kept connection and that no engine ran is excused.

--- a/script/tools/soak/guarantees.py
+++ b/script/tools/soak/guarantees.py
@@ -30,6 +30,9 @@
         Signature of the engine's answer; empty without one.
     late_s
         Seconds by which the answer came after the request's deadline.
+    kept
+        Whether it was sent on a connection that had been used before, which
+        the daemon may have been closing.
     """
 
     request_id: str
@@ -39,6 +42,7 @@
     body: bytes = b''
     signature: str = ''
     late_s: float = 0
+    kept: bool = False
 
 
 def find_violations(
@@ -75,7 +79,7 @@
             f'{each.request_id}: {text}'
             for text in _violations(each, runs, events)
         )
-        if calm and not _is_ended_properly(each):
+        if calm and not _is_ended_properly(each, runs):
             broken.append(f'{each.request_id}: lost, status {each.status}')
     return broken
 
@@ -101,7 +105,9 @@
     return [f'{engine}: {most} requests in a window, {allowed:.0f} allowed']
 
 
-def _is_ended_properly(each: RequestOutcome) -> bool:
+def _is_ended_properly(each: RequestOutcome, runs: Mapping[str, int]) -> bool:
+    if each.kept and not each.status and not runs.get(each.request_id, 0):
+        return True
     return each.whole and each.status in {_OK, *_NOT_RUN_STATUSES}
 
 
--- a/script/tools/soak/runner.py
+++ b/script/tools/soak/runner.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections import Counter
+from itertools import chain
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -32,7 +33,12 @@
     FleetStandin,
     Framing,
 )
-from tests.platform.support import Caller, free_address
+from tests.platform.support import (
+    Caller,
+    KeptConnection,
+    free_address,
+)
+from yuccavalve.adapters.exchange import async_exchange
 from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
 
 __all__ = ('Soak',)
@@ -51,6 +57,9 @@
 _CALM_EVENTS = 40
 _CALM_TOKEN_S = 0.03
 _CALM_ENGINES = 9
+# Work and deadline of its other requests; some of them fit into a stop.
+_CALM_WORK_S = 0.8
+_CALM_DEADLINE_S = 3.0
 # How long most streams of a calm run ask for the same model.
 _LOAD_MOVES_S = 4.0
 _STREAMS_OF_BUSY_MODEL = 0.8
@@ -124,6 +133,7 @@
         self._processes: list[subprocess.Popen[bytes] | None] = []
         self._links: list[FaultyLink] = []
         self._callers: list[Caller] = []
+        self._kept: dict[int, list[KeptConnection]] = {}
         self._settings_texts: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._random = Random(seed)
@@ -148,6 +158,8 @@
                     process.wait()
             for link in self._links:
                 await link.async_close()
+            for connection in chain(*self._kept.values()):
+                connection.close()
             await self.fleet.async_stop()
         runs = Counter(self.fleet.all_runs)
         return find_violations(
@@ -165,7 +177,7 @@
         return [
             attrs.evolve(each, events=_CALM_EVENTS, token_s=_CALM_TOKEN_S)
             if each.fabric_domain
-            else each
+            else attrs.evolve(each, token_s=_CALM_WORK_S)
             for each in builders.engine_options(count=_CALM_ENGINES)
         ]
 
@@ -205,7 +217,8 @@
         until_s = time.monotonic() + 20
         while time.monotonic() < until_s:
             await self._async_request(0, 'stream', 'warm')
-            if self.seen[-1].status == 200 and self._has_replicas():
+            answered = any(each.status == 200 for each in self.seen)
+            if answered and self._has_replicas():
                 break
             await asyncio.sleep(0.2)
         else:
@@ -296,36 +309,68 @@
     async def _async_request(self, daemon: int, kind: str, name: str) -> None:
         request_id = f'{self.seed}-{kind}-{name}-{len(self._sent)}'
         self._sent.add(request_id)
-        fields = {'deadline_ms': str(int(_DEADLINE_S * 1000))}
+        is_short = self.calm and kind != 'stream'
+        deadline_s = _CALM_DEADLINE_S if is_short else _DEADLINE_S
+        fields = {'deadline_ms': str(int(deadline_s * 1000))}
         if kind == 'stream':
             fields.update(model=self._model(), token_counts='100,80')
         began_s = time.monotonic()
         status, body, signature, whole = 0, b'', '', False
+        call = self._callers[daemon].request(
+            'GET' if kind == 'repeatable' else 'POST',
+            _PATHS[kind],
+            request_id,
+            body=request_id.encode(),
+            **fields,
+        )
+        connection = self._take_connection(daemon, kind)
+        is_kept = connection is not None and connection.is_open
         try:
             async with asyncio.timeout(_DEADLINE_S + 3):
-                answer = await self._callers[daemon].async_open(
-                    'GET' if kind == 'repeatable' else 'POST',
-                    _PATHS[kind],
-                    request_id,
-                    body=request_id.encode(),
-                    **fields,
-                )
-                status = answer.status
-                headers = dict(answer.headers)
+                if connection is None:
+                    answer = await async_exchange(call)
+                    status = answer.status
+                    headers = dict(answer.headers)
+                    body = await answer.async_read_all(_MAX_BODY_BYTES)
+                else:
+                    received = await connection.async_send(call)
+                    status, headers = received.status, received.headers
+                    body = received.body
+                    self._kept[daemon].append(connection)
                 signature = headers.get(b'response-signature', b'').decode()
-                body = await answer.async_read_all(_MAX_BODY_BYTES)
                 whole = True
-        except (BackendLostError, BackendNotReachedError, TimeoutError):
+        except BackendNotReachedError:
+            if self.calm:
+                # A stopped daemon accepted nothing.
+                return
+        except (BackendLostError, TimeoutError):
             pass
         late_s = 0.0
         if status and daemon not in self._ever_paused:
-            late_s = time.monotonic() - began_s - _DEADLINE_S
+            late_s = time.monotonic() - began_s - deadline_s
         self.seen.append(
             RequestOutcome(
-                request_id, kind, status, whole, body, signature, late_s
+                request_id,
+                kind,
+                status,
+                whole,
+                body,
+                signature,
+                late_s,
+                is_kept,
             ),
         )
 
+    def _take_connection(self, daemon: int, kind: str) -> KeptConnection | None:
+        """Return a connection for one half of the requests without events.
+
+        Callers keep their connections until the daemon closes them.
+        """
+        if kind == 'stream' or self._random.randrange(2):
+            return None
+        idle = self._kept.setdefault(daemon, [])
+        return idle.pop() if idle else KeptConnection(self._callers[daemon])
+
     def _has_replicas(self) -> bool:
         """Return whether each model of a calm run has a replica."""
         open_models = {
--- a/script/tools/soak/schedule.py
+++ b/script/tools/soak/schedule.py
@@ -42,6 +42,7 @@
 _CALM_KINDS = (
     FaultKind.CONFIG_CHANGE,
     FaultKind.DAEMON_RELOAD,
+    FaultKind.DAEMON_STOP,
     FaultKind.ENGINE_SILENT,
 )
 
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -104,6 +104,19 @@
         **fields: str,
     ) -> HttpAnswer:
         """Send a request and return its answer once the head was read."""
+        return await async_exchange(
+            self.request(method, target, request_id, body, **fields)
+        )
+
+    def request(
+        self,
+        method: str,
+        target: str,
+        request_id: str,
+        body: bytes = b'',
+        **fields: str,
+    ) -> HttpCall:
+        """Return a request as it is sent."""
         headers = [
             (b'host', b'h.example'),
             (b'request-id', request_id.encode()),
@@ -113,8 +126,7 @@
                 for name, text in fields.items()
             ),
         ]
-        call = HttpCall(self.address, method, target.encode(), headers, body)
-        return await async_exchange(call)
+        return HttpCall(self.address, method, target.encode(), headers, body)
 
     async def async_call(self, *args: str, **fields: Any) -> Answer:
         """Send a request and return its whole answer."""
@@ -129,14 +141,28 @@
 class KeptConnection:
     """A connection on which a caller sends one request after another."""
 
-    def __init__(self, caller: Caller) -> None:
-        """Open the connection with the first request."""
+    def __init__(
+        self,
+        caller: Caller,
+        reader: asyncio.StreamReader | None = None,
+        writer: asyncio.StreamWriter | None = None,
+    ) -> None:
+        """Use a connection, or open one with the first request."""
         self._caller = caller
-        self._writer: asyncio.StreamWriter | None = None
-        self._reader: asyncio.StreamReader | None = None
+        self._reader = reader
+        self._writer = writer
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection has been used and not closed."""
+        return self._writer is not None
+
+    async def async_call(self, *args: Any, **fields: str) -> Answer:
+        """Send a request with the header fields of a platform caller."""
+        return await self.async_send(self._caller.request(*args, **fields))
 
-    async def async_call(self, target: str, request_id: str) -> Answer:
-        """Send a request without a body, and return its whole answer.
+    async def async_send(self, call: HttpCall) -> Answer:
+        """Send a request to a plain service, and return its whole answer.
 
         Raises
         ------
@@ -146,14 +172,8 @@
             When the connection ends before the answer does.
         """
         reader, writer = await self._async_connection()
-        lines = [
-            f'GET {target} HTTP/1.1',
-            'host: h.example',
-            f'request-id: {request_id}',
-            f'x-api-key: {self._caller.key}',
-        ]
         try:
-            writer.write('\r\n'.join((*lines, '', '')).encode())
+            writer.write(call.encode())
             head = await reader.readuntil(b'\r\n\r\n')
             status, headers = _parse_head(head)
             body = await reader.readexactly(int(headers[b'content-length']))
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -12,13 +12,22 @@
 
 from tests.platform import builders
 from tests.platform.standin import FleetStandin
-from tests.platform.support import DaemonRun, async_stop_all
+from tests.platform.support import (
+    Answer,
+    Caller,
+    DaemonRun,
+    KeptConnection,
+    async_stop_all,
+    free_address,
+)
 from yuccavalve.daemon.early_start import NOTHING_DONE, EarlyStart
+from yuccavalve.sockets import split_address
 from yuccavalve_platform.early import start_before_imports
 
 _ROOT = Path(__file__).resolve().parents[2]
 _TIMEOUT_S = 30.0
 _POLL_S = 0.005
+_ANY_PORT = '127.0.0.1:0'
 _HANGUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
@@ -94,3 +103,63 @@
         await self.neighbor.async_kill()
         early_start = await self._async_start_other('127.0.0.1:1')
         self.assertIs(early_start, NOTHING_DONE)
+
+    async def test_stop_during_the_imports_answers_waiting_callers(
+        self,
+    ) -> None:
+        """Guards against resetting connections accepted before the imports."""
+        await self.neighbor.async_kill()
+        address = free_address()
+        text = builders.settings_text(
+            {
+                'node': 'front-2',
+                'listen.front': address,
+                'listen.ready': _ANY_PORT,
+                'listen.directory': _ANY_PORT,
+                'internal_ports.0': free_address().rpartition(':')[2],
+                'internal_ports.1': free_address().rpartition(':')[2],
+                'platform.address': self.fleet.store_address,
+                'bounds.grace_s': '2',
+            }
+        ).replace('127.0.0.1:9100', _ANY_PORT)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'settings.toml'
+            path.write_text(text)
+            process = subprocess.Popen(
+                [sys.executable, 'platform/serve.py'],
+                cwd=_ROOT,
+                env={**os.environ, 'YUCCAVALVE_NODE_FILE': str(path)},
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
+            try:
+                answer = await self._async_stop_while_calling(process, address)
+            finally:
+                process.kill()
+                process.wait()
+        self.assertIn(answer.status, {200, 503})
+        self.assertEqual(process.returncode, 0)
+
+    async def _async_stop_while_calling(
+        self, process: subprocess.Popen[bytes], address: str
+    ) -> Answer:
+        """Stop a process once it accepts connections; return its answer."""
+        caller = Caller(address, builders.KEY)
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + _TIMEOUT_S
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    *split_address(address)
+                )
+                break
+            except OSError:
+                self.assertLess(loop.time(), until_s, 'it never listened')
+                await asyncio.sleep(_POLL_S)
+        connection = KeptConnection(caller, reader, writer)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_TIMEOUT_S):
+            answer = await connection.async_call('GET', '/get/x', 'waiting')
+            await asyncio.to_thread(process.wait)
+        connection.close()
+        return answer
--- a/tests/platform/test_stop_deadlines.py
+++ b/tests/platform/test_stop_deadlines.py
@@ -122,7 +122,7 @@
             number += 1
             sent = _Sent(f'kept{target}/{number}', 400, is_kept=True)
             await self._async_record(
-                sent, connection.async_call(target, sent.request_id)
+                sent, connection.async_call('GET', target, sent.request_id)
             )
             await asyncio.sleep(_INTERVAL_S / 2)
         connection.close()
--- a/yuccavalve/daemon/early_start.py
+++ b/yuccavalve/daemon/early_start.py
@@ -33,10 +33,13 @@
         Listening socket for callers; None if the daemon binds it later.
     others_are_down
         Whether no other daemon was reached although their addresses are known.
+    stop_signals
+        Signals to stop that came during the imports.
     """
 
     listener: socket.socket | None = None
     others_are_down: bool = False
+    stop_signals: Sequence[int] = ()
 
 
 NOTHING_DONE: Final = EarlyStart()
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -86,7 +86,7 @@
             'event=started_without_neighbors listens_early=%s',
             early_start.listener is not None,
         )
-    daemon = GatewayDaemon(node, settings_file, early_start.listener)
+    daemon = GatewayDaemon(node, settings_file, early_start)
     return asyncio.run(daemon.async_run())
 
 
@@ -110,14 +110,14 @@
         self,
         node: GatewayNode,
         settings_file: Path | None = None,
-        caller_listener: socket.socket | None = None,
+        early_start: EarlyStart = NOTHING_DONE,
     ) -> None:
         """Create the loops; no socket is opened yet.
 
         A socket on which callers wait already is used for them.
         """
         self._node = node
-        self._caller_listener = caller_listener
+        self._early_start = early_start
         self._settings_loop = SettingsLoop(
             node,
             settings_file,
@@ -268,8 +268,9 @@
 
     def _listener(self, purpose: str, address: str) -> socket.socket:
         """Return the socket for an address, which may listen already."""
-        if purpose == 'caller' and self._caller_listener is not None:
-            return self._caller_listener
+        early_listener = self._early_start.listener
+        if purpose == 'caller' and early_listener is not None:
+            return early_listener
         return bind_socket(address)
 
     def _record_addresses(self, bound: dict[str, str]) -> None:
@@ -293,6 +294,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, self._signals.put_nowait, number)
+        for early in self._early_start.stop_signals:
+            self._signals.put_nowait(early)
 
     async def _async_stop_signal(self) -> None:
         while True:
