Read on after an answer that ends a connection within a body

A stopping daemon refuses requests at their head and closes the connection. A caller whose body was still on its way was reset and lost the refusal.

The rest of the body is now discarded for up to 5 s after the end of the answer, as after malformed heads. An answer that breaks off still closes at once.

--- a/yuccavalve/serving.py
+++ b/yuccavalve/serving.py
@@ -5,11 +5,15 @@
 import functools
 import json
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
+import attrs
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from yuccavalve.const import HEADER_RESULT
 from yuccavalve.results import ResultCode
@@ -24,6 +28,8 @@
 # How long and how much is read from a caller after its head was refused.
 _LINGER_S = 1.0
 _MAX_DISCARDED_BYTES = 8388608
+# How long the rest of a body is read after an answer that ends the connection.
+_BODY_LINGER_S = 5.0
 _KEEP_ALIVE_S = 30
 _WRITE_BUFFER_BYTES = 16384
 # Rounds of the event loop in which an accepted connection gets its transport.
@@ -33,6 +39,25 @@
 _START_POLL_S = 0.01
 
 
+@attrs.frozen
+class _AnswerTransport:
+    """What an answer is written to; its end may leave the connection open.
+
+    Attributes
+    ----------
+    write
+        Writes to the connection.
+    is_closing
+        Returns whether the connection is closed or being closed.
+    close
+        Called after an answer that ends the connection.
+    """
+
+    write: Callable[[bytes], None]
+    is_closing: Callable[[], bool]
+    close: Callable[[], None]
+
+
 class BoundedHeaderProtocol(HttpToolsProtocol):
     """The library's protocol with bounds on heads, and readable refusals.
 
@@ -83,6 +108,11 @@
         """Begin the request."""
         self._unended_bytes = 0
         super().on_headers_complete()
+        self.cycle.transport = _AnswerTransport(
+            self.transport.write,
+            self.transport.is_closing,
+            functools.partial(self._close_after, self.cycle),
+        )
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on."""
@@ -119,6 +149,20 @@
         self.transport.write_eof()
         self.loop.call_later(_LINGER_S, self.transport.close)
 
+    def _close_after(self, cycle: RequestResponseCycle) -> None:
+        """Close the connection after an answer that ends it.
+
+        If the body of its request is still on the way, the rest is read for a
+        while: unread bytes would reset the connection, and the caller would
+        lose the answer.
+        """
+        if not cycle.more_body or not cycle.response_complete:
+            self.transport.close()
+            return
+        self._is_refused = True
+        self.transport.write_eof()
+        self.loop.call_later(_BODY_LINGER_S, self.transport.close)
+
     def _discard(self, size_bytes: int) -> None:
         self._discarded_bytes += size_bytes
         if self._discarded_bytes > _MAX_DISCARDED_BYTES:
