--- a/yuccavalve/gateway/const.py
+++ b/yuccavalve/gateway/const.py
@@ -44,8 +44,10 @@
 # machine, however long the grace time is.
 STOP_CANCEL_MARGIN_S: Final = 0.65
 STOP_CLOSE_MARGIN_S: Final = 0.3
-# Most of the grace time that the first of these may take.
-STOP_MAX_MARGIN_FRACTION: Final = 0.25
+# Most of the grace time that the first of these may take. The platform takes
+# requests in flight as cut by the daemon if it cancels them before the last
+# sixth.
+STOP_MAX_MARGIN_FRACTION: Final = 0.16
 # Fraction of the retry budget that is used. The rest is a margin for retries
 # of other daemons that this daemon does not see.
 BUDGET_SAFETY_FACTOR: Final = 0.8
