Cancel requests at the end of a planned stop after their first step

A request that arrived in the same round of the event loop as the cancellation was cancelled before its task had begun, outside of the handler that answers. Its caller got the server library's bare 500. Seen twice in one of several runs of tests.platform.test_stop_deadlines on a busy machine.

--- a/yuccavalve/inflight.py
+++ b/yuccavalve/inflight.py
@@ -48,9 +48,14 @@
             watcher.cancel()
 
     def cancel_all(self) -> None:
-        """Cancel the requests that outlast the bound of a planned stop."""
-        for task in list(self._tasks):
-            task.cancel(ResultCode.STOP_BOUND_REACHED.name)
+        """Cancel the requests that outlast the bound of a planned stop.
+
+        Tasks are cancelled after their first step: one that is cancelled
+        before it ends without an answer.
+        """
+        loop = asyncio.get_running_loop()
+        for task in self._tasks:
+            loop.call_soon(task.cancel, ResultCode.STOP_BOUND_REACHED.name)
 
     async def async_wait_idle(self) -> None:
         """Wait until no request is in flight."""
