Ask before a relayed request is sent whether a stop may cut it

A daemon that reaches no engine checked its planned stop before it connected to a neighbor. If the signal came while it connected, a request whose deadline is after the stop was relayed and could be cut.

Such a request is now refused with 2003 before its bytes are written, as those to engines are. The neighbor is not avoided for it.

--- a/tests/platform/test_partitioned_daemons.py
+++ b/tests/platform/test_partitioned_daemons.py
@@ -18,6 +18,7 @@
 from tests.platform.test_continued_streams import ANSWERS, resumed_answer
 from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
 from yuccavalve.relay.const import VERDICT_MAX_WAIT_S
+from yuccavalve.results import ResultCode
 
 _STREAM = {'model': builders.MODEL, 'token_counts': '100,80'}
 _HANG = 'hang'
@@ -78,6 +79,25 @@
         return getattr(self.cut.relay, name)
 
 
+class _StoppingRelay:
+    """A relay port that stops its daemon while it connects to another."""
+
+    def __init__(self, daemon: DaemonRun) -> None:
+        """Stand in front of the port of a daemon."""
+        self.stop: asyncio.Task[int] | None = None
+        self._daemon = daemon
+        self._relay = daemon.node.relay_sender.port
+        daemon.node.relay_sender.port = self
+
+    async def async_open(self, request: Any) -> Any:
+        """Begin the stop, and open an exchange with a daemon."""
+        if self.stop is None:
+            self.stop = asyncio.create_task(self._daemon.async_stop())
+        stop = self._daemon.node.gateway.stop
+        await async_until(lambda: stop.stopping, 'the daemon stops', 1)
+        return await self._relay.async_open(request)
+
+
 class _CutAnswer:
     """An answer that hangs or breaks off when the cut begins."""
 
@@ -306,6 +326,17 @@
         self.assertIn(b'2014', answer.body)
         self.assertEqual(self._runs('id-1'), 0)
 
+    async def test_nothing_is_relayed_that_a_stop_may_cut(self) -> None:
+        """Guards against a stop that begins while a neighbor is connected."""
+        await self._async_cut(_RESET, 0)
+        relay = _StoppingRelay(self.daemons[0])
+        answer = await self.callers[0].async_call('POST', '/once/x', 'id-1')
+        self.assertEqual(answer.status, 503)
+        self.assertIn(ResultCode.MEMBER_LEAVING.name, str(answer.body))
+        self.assertEqual(self._runs('id-1'), 0)
+        if relay.stop is not None:
+            await relay.stop
+
     async def test_others_learn_of_it_and_no_strikes(self) -> None:
         await self._async_cut(_HANG, 0)
         own = self.daemons[0].node.roster.local_member.member
--- a/yuccavalve/ports/relay.py
+++ b/yuccavalve/ports/relay.py
@@ -5,6 +5,7 @@
 import attrs
 
 from yuccavalve.ports.backend import BodyFraming, HeaderFields
+from yuccavalve.ports.sending import MaySend, always
 from yuccavalve.results import ResultCode
 
 __all__ = ('RelayAnswer', 'RelayPort', 'RelayRequest')
@@ -23,6 +24,8 @@
     resume_after
         Id of the last event that the caller received of this answer; None
         leaves the caller's own field.
+    may_send
+        Returns, once the connection is made, whether it may still be sent.
     """
 
     address: str
@@ -33,6 +36,7 @@
     body: bytes
     deadline_s: float
     resume_after: str | None = None
+    may_send: MaySend = always
 
 
 class RelayAnswer(Protocol):
--- a/yuccavalve/relay/sender.py
+++ b/yuccavalve/relay/sender.py
@@ -17,6 +17,7 @@
 from yuccavalve.exceptions import (
     BackendLostError,
     BackendNotReachedError,
+    PermitExpiredError,
     RequestRefusedError,
 )
 from yuccavalve.gateway.budget import ServiceRetryBudgets
@@ -206,6 +207,8 @@
             async with asyncio.timeout(None) as timer:
                 relaying.cancel = lambda: timer.reschedule(0)
                 outcome = await self._async_exchange(relaying, neighbor)
+        except PermitExpiredError:
+            outcome = 'not_sent'
         except BackendNotReachedError as error:
             outcome = 'not_reached'
             self._record_failure(relaying, outcome, error)
@@ -375,6 +378,7 @@
         body=routed.body,
         deadline_s=routed.deadline_at_s - now_s,
         resume_after=routed.last_event,
+        may_send=lambda: not routed.must_leave,
     )
 
 
