Read changed settings before a planned stop

A changed settings file is noticed within 2 s if no SIGHUP says so. A SIGTERM in that time was answered by a stop with the old grace time, which may outlast the new one.

--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -305,9 +305,11 @@
         """Direct callers to other daemons and finish requests in flight.
 
         All times count from the signal, however long the store takes to
-        remove this daemon's rows.
+        remove this daemon's rows. The grace time may have changed since the
+        settings file was last read.
         """
         node = self._node
+        self._settings_loop.apply_changes()
         grace_s = node.settings.bounds.grace_s
         signalled_at_s = node.clock.now_s()
         end_at_s = signalled_at_s + grace_s
--- a/yuccavalve/daemon/settings_loop.py
+++ b/yuccavalve/daemon/settings_loop.py
@@ -50,11 +50,15 @@
             reload_requested = await async_wait(
                 self.reload_requested, _POLL_PERIOD_S
             )
-            self.reload_requested.clear()
-            modified_ns = self._modified_ns()
-            if reload_requested or modified_ns != self._last_modified_ns:
-                self._last_modified_ns = modified_ns
-                self._reload()
+            self.apply_changes(reload_requested=reload_requested)
+
+    def apply_changes(self, *, reload_requested: bool = False) -> None:
+        """Reload the file if it has changed or a reload was requested."""
+        self.reload_requested.clear()
+        modified_ns = self._modified_ns()
+        if reload_requested or modified_ns != self._last_modified_ns:
+            self._last_modified_ns = modified_ns
+            self._reload()
 
     def _modified_ns(self) -> int:
         if self.path is None:
