Count the grace time from the signal, not from when the loop sees it

While the event loop is blocked, or the daemon is not listening yet, the handler that begins a stop waits, and the stop ended that much later. A daemon blocked for 0.8 s at the signal outlasted a grace time of 2 s, and would be killed with connections open.

The time is now recorded by a handler that runs between bytecodes.

--- a/tests/platform/test_stop_settings.py
+++ b/tests/platform/test_stop_settings.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from random import Random
@@ -18,6 +19,7 @@
 
 _LONG_S = 8
 _SHORT_S = 2
+_BLOCKED_S = 0.8
 
 
 class StopSettingsTest(unittest.IsolatedAsyncioTestCase):
@@ -77,3 +79,13 @@
     ) -> None:
         """Guards against a stop that overtakes the reload."""
         await self._async_stop_after_change(signal.SIGHUP, signal.SIGTERM)
+
+    async def test_grace_time_runs_while_the_event_loop_is_blocked(
+        self,
+    ) -> None:
+        """Guards against a stop that counts from when the loop goes on."""
+        self._write(_SHORT_S)
+        async with asyncio.timeout(_SHORT_S):
+            os.kill(os.getpid(), signal.SIGTERM)
+            time.sleep(_BLOCKED_S)
+            await self.task
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -127,6 +127,7 @@
         self._lease_loop = LeaseLoop(node)
         node.grantor.term = self._lease_loop.term
         self._signals: asyncio.Queue[int] = asyncio.Queue()
+        self._signalled_at_s: float | None = None
         self._servers: list[HttpServer] = []
         self._peer_server: PeerServer | None = None
         self._relay_entry = RelayEntry(node.gateway, node.random)
@@ -184,6 +185,7 @@
 
     def request_stop(self) -> None:
         """Begin a graceful stop, as SIGTERM does."""
+        self._record_stop_signal()
         self._signals.put_nowait(signal.SIGTERM)
 
     def _loops(self) -> list[Callable[[], Awaitable[None]]]:
@@ -293,6 +295,19 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, self._signals.put_nowait, number)
+            if number != signal.SIGHUP:
+                signal.signal(number, self._record_stop_signal)
+                signal.siginterrupt(number, False)
+
+    def _record_stop_signal(self, *_: object) -> None:
+        """Record when the first signal to stop came.
+
+        This runs between bytecodes, the event loop's own handler only once
+        what blocks the loop has ended. The loop is woken by its file
+        descriptor, whatever handler is set.
+        """
+        if self._signalled_at_s is None:
+            self._signalled_at_s = self._node.clock.now_s()
 
     async def _async_stop_signal(self) -> None:
         while True:
@@ -311,7 +326,7 @@
         node = self._node
         self._settings_loop.apply_changes()
         grace_s = node.settings.bounds.grace_s
-        signalled_at_s = node.clock.now_s()
+        signalled_at_s = self._signalled_at_s or node.clock.now_s()
         end_at_s = signalled_at_s + grace_s
         cancel_at_s = end_at_s - min(
             STOP_CANCEL_MARGIN_S, grace_s * STOP_MAX_MARGIN_FRACTION
