Answer pipelined requests when the daemon stops

The first answer after the signal closed its connection, and a request that had been read behind it was dropped unanswered.

An answer closes its connection now only if no other request was read on it. What waits is then answered or refused as any other request.

--- a/tests/platform/test_stop_connections.py
+++ b/tests/platform/test_stop_connections.py
@@ -69,6 +69,20 @@
         await stop
         self.assertNotIn('long', self.fleet.all_runs)
 
+    async def test_pipelined_request_is_answered(self) -> None:
+        """Guards against dropping what was read behind another request."""
+        reader, writer = await self._async_connect()
+        writer.write(_head('first', 2000) + _head('second', 1000))
+        await async_until(
+            lambda: len(self.daemon.node.gateway.running) == 1, 'it arrived'
+        )
+        stop = self._begin_stop()
+        answer = await reader.read()
+        heads = [each[:3] for each in answer.split(b'HTTP/1.1 ')[1:]]
+        self.assertEqual(heads, [b'200', b'200'])
+        self.assertEqual(answer.count(b'connection: close'), 1)
+        await stop
+
 
 def _head(request_id: str, deadline_ms: int, body_bytes: int = 0) -> bytes:
     lines = (
--- a/yuccavalve/gateway/models.py
+++ b/yuccavalve/gateway/models.py
@@ -128,6 +128,11 @@
         return cls(status, media_type)
 
 
+def _has_no_next() -> bool:
+    """Return False, for a request that no server has read."""
+    return False
+
+
 @attrs.define(eq=False)
 class RoutedRequest:
     """State of one request from its arrival to its final answer.
@@ -168,6 +173,8 @@
         engine takes the request over.
     stop
         Planned stop of this daemon.
+    has_next
+        Returns whether another request was read on the connection.
     """
 
     inbound: InboundRequest
@@ -202,6 +209,7 @@
     passed_result: ResultCode = ResultCode.ANSWERED
     stalled: list[Attempt] = attrs.field(factory=list)
     stop: GatewayStop = attrs.field(factory=GatewayStop)
+    has_next: Callable[[], bool] = _has_no_next
 
     @property
     def suspects(self) -> tuple[int, ...]:
--- a/yuccavalve/gateway/respond.py
+++ b/yuccavalve/gateway/respond.py
@@ -25,9 +25,13 @@
     status: int,
     headers: HeaderFields,
 ) -> None:
-    """Send the status and headers of an answer."""
+    """Send the status and headers of an answer.
+
+    While the daemon stops it closes the connection, unless a request was read
+    that waits for this answer: it would be dropped unanswered.
+    """
     fields = list(headers)
-    if routed.stop.stopping:
+    if routed.stop.stopping and not routed.has_next():
         fields.append((b'connection', b'close'))
     routed.response_began = True
     routed.response_head = AnswerKind.from_head(status, headers)
--- a/yuccavalve/gateway/server.py
+++ b/yuccavalve/gateway/server.py
@@ -45,6 +45,7 @@
     RoutingTable,
     ServiceProfile,
 )
+from yuccavalve.serving import HAS_NEXT_KEY
 
 __all__ = ('Gateway',)
 
@@ -111,6 +112,7 @@
         routed = RoutedRequest(
             inbound, receive, send, arrived_at_s, stop=self.stop
         )
+        routed.has_next = scope.get(HAS_NEXT_KEY, routed.has_next)
         mark: RelayEntryMark | None = scope.get(RELAY_SCOPE_KEY)
         if mark is not None:
             routed.relayed = True
--- a/yuccavalve/serving.py
+++ b/yuccavalve/serving.py
@@ -19,7 +19,11 @@
 from yuccavalve.results import ResultCode
 from yuccavalve.sockets import BACKLOG, bind_socket
 
-__all__ = ('HttpServer', 'bind_socket')
+__all__ = ('HAS_NEXT_KEY', 'HttpServer', 'bind_socket')
+
+# Key of a scope whose function returns whether the caller has sent another
+# request on the connection.
+HAS_NEXT_KEY = 'yuccavalve.has_next'
 
 _MAX_HEADER_BYTES = 32768
 # Bytes received since an element of a request last ended. One read may bring
@@ -108,6 +112,7 @@
         """Begin the request."""
         self._unended_bytes = 0
         super().on_headers_complete()
+        self.scope[HAS_NEXT_KEY] = self._has_next
         self.cycle.transport = _AnswerTransport(
             self.transport.write,
             self.transport.is_closing,
@@ -163,6 +168,9 @@
         self.transport.write_eof()
         self.loop.call_later(_BODY_LINGER_S, self.transport.close)
 
+    def _has_next(self) -> bool:
+        return bool(self.pipeline)
+
     def _discard(self, size_bytes: int) -> None:
         self._discarded_bytes += size_bytes
         if self._discarded_bytes > _MAX_DISCARDED_BYTES:
