--- a/yuccavalve/daemon/early_start.py
+++ b/yuccavalve/daemon/early_start.py
@@ -33,13 +33,14 @@
         Listening socket for callers; None if the daemon binds it later.
     others_are_down
         Whether no other daemon was reached although their addresses are known.
-    stop_signals
-        Signals to stop that came during the imports.
+    stop_signals_at_s
+        Times since the host booted at which signals to stop came during the
+        imports.
     """
 
     listener: socket.socket | None = None
     others_are_down: bool = False
-    stop_signals: Sequence[int] = ()
+    stop_signals_at_s: Sequence[float] = ()
 
 
 NOTHING_DONE: Final = EarlyStart()
