Close replicas until their requests have ended

A replica that was given up although it works was left after 10 s, or 2 s with a slow member, and the requests that it still ran were broken off. It is now left only after the longest time-out of the service's routes, when each of them has ended; time-outs of an earlier configuration count until their requests have ended. A replica whose head engine begins to leave while it closes is left before that engine stops.

Three tests of the planner fail without the change: requests of 28 s, requests of 7 s with a slow member, and a time-out of 2 s, after which the engines are free.

--- a/tests/formation/test_planner.py
+++ b/tests/formation/test_planner.py
@@ -191,6 +191,18 @@
         members = {name for each in heads for name in each.joined.members}
         self.assertNotIn(member, members)
 
+    def test_replica_with_a_slow_member_ends_its_requests(self) -> None:
+        """It was left after 2 s, and its requests were broken off."""
+        self.model.run(4, self.planner)
+        head = self.model.open_heads('m6')[0]
+        self.model.busy_until_s[head.engine] = self.model.now_s + 7
+        self.model.strikes = {head.engine: 2}
+        self.model.slow = {head.joined.members[3]}
+        self.model.run(0.5, self.planner)
+        self.model.strikes = {}
+        self.model.run(10, self.planner)
+        self.assertEqual(self._open('m6'), 2)
+
     def test_replica_is_kept_if_all_engines_are_slow(self) -> None:
         self.model.run(4, self.planner)
         head = self.model.open_heads('m6')[0]
@@ -477,6 +489,43 @@
         self.assertEqual(len(self.model.violations), 1)
         self.model.violations.clear()
 
+    def test_donor_ends_requests_that_last_as_long_as_their_routes_allow(
+        self,
+    ) -> None:
+        """Replicas were left after 10 s, whatever the routes' time-outs."""
+        self.model.longest_request_s = 30
+        self._keep_donors_busy(28)
+        self.model.run(27.8, self.planner)
+        self.assertEqual(self._open()[0], 1)
+        self.model.run(4, self.planner)
+        self.assertEqual(self._open(), (2, 1))
+
+    def test_donor_is_not_bound_after_the_longest_time_out(self) -> None:
+        self.model.longest_request_s = 2
+        self._keep_donors_busy(60)
+        self.model.run(12, self.planner)
+        self.assertEqual(self._open(), (2, 1))
+        self.assertEqual(len(self.model.violations), 1)
+        self.model.violations.clear()
+
+    def test_closing_donor_leaves_before_its_head_engine_stops(self) -> None:
+        """Its members were bound until the end of the close."""
+        self.model.longest_request_s = 30
+        self._keep_donors_busy(28)
+        self.model.run(4, self.planner)
+        closing = next(
+            engine
+            for engine in self.model.engines.values()
+            if engine.state(self.model.now_s) is MemberState.CLOSING
+        )
+        epoch = closing.joined.epoch
+        closing.draining = True
+        self.model.run(_DRAIN_S - 0.1, self.planner)
+        joined = closing.joined
+        self.assertFalse(joined is not None and joined.epoch == epoch)
+        self.assertEqual(len(self.model.violations), 1)
+        self.model.violations.clear()
+
     def test_donor_that_loses_a_member_leaves_at_once(self) -> None:
         self._keep_donors_busy(9)
         self.model.run(4, self.planner)
--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -162,6 +162,8 @@
         Engines that refuse connections but still work.
     busy_until_s
         Times until which head engines run requests, by engine.
+    longest_request_s
+        Longest time-out of the service's routes.
     has_other_daemons
         Whether daemons besides the planner pass orders on to engines.
     detection_s
@@ -189,6 +191,7 @@
     busy_until_s: dict[str, float] = attrs.field(factory=dict)
     crashing: set[str] = attrs.field(factory=set)
     crashes: list[float] = attrs.field(factory=list)
+    longest_request_s: float = 8
     has_other_daemons: bool = True
     detection_s: float = 1
     holds: Callable[[ModelEngine, GroupOrder], bool] = lambda *_: False
@@ -375,6 +378,7 @@
                 for name, until_s in self.busy_until_s.items()
             },
             evacuated=self.evacuated,
+            longest_request_s=self.longest_request_s,
         )
 
     def _is_found_dead(self, engine: ModelEngine) -> bool:
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -23,6 +23,7 @@
     FormationPlanner,
     OrderTask,
     ReplicaHealth,
+    RequestLimits,
 )
 from yuccavalve.formation.const import (
     DEMAND_LOG_S,
@@ -55,6 +56,7 @@
     lease: LeaseLoop
     _planners: dict[str, FormationPlanner] = attrs.field(factory=dict)
     _demands: dict[str, Demand] = attrs.field(factory=dict)
+    _limits: RequestLimits = attrs.field(factory=RequestLimits)
     _demand_logged_at_s: float = _NEVER_S
     _term: int = 0
     _orders: CountedControl = attrs.field(init=False)
@@ -129,6 +131,7 @@
         if self._term != condition.version:
             self._term = condition.version or 0
             self._planners.clear()
+        self._limits.record(table, self.node.clock.now_s())
         for service in table.services.values():
             if service.engine is not None and self.node.view.version:
                 self._try_step_service(service)
@@ -238,6 +241,9 @@
             started=self.node.share_state.started,
             is_new_daemon=now_s - view.first_read_at_s < NEW_DAEMON_GRACE_S,
             evacuated=self.node.evacuations.zones,
+            longest_request_s=self._limits.longest_request_s(
+                service.name, now_s
+            ),
         )
 
     def _strikes(self, listed: Mapping[str, EngineRecord]) -> dict[str, int]:
--- a/yuccavalve/formation/__init__.py
+++ b/yuccavalve/formation/__init__.py
@@ -9,6 +9,7 @@
     OrderTask,
 )
 from yuccavalve.formation.planner import FormationPlanner
+from yuccavalve.formation.request_limits import RequestLimits
 
 __all__ = (
     'Demand',
@@ -18,4 +19,5 @@
     'ObservedReplica',
     'OrderTask',
     'ReplicaHealth',
+    'RequestLimits',
 )
--- a/yuccavalve/formation/const.py
+++ b/yuccavalve/formation/const.py
@@ -83,13 +83,16 @@
 # Fraction of a load that is assumed to be done on an engine that is already
 # loading the model.
 LOAD_DONE_FRACTION: Final = 0.5
-# Longest time for which a replica that is given up although it works closes:
-# it takes no new requests and ends those that it runs.
-CLOSE_MAX_S: Final = 10.0
-# The same for a replica with a slow member, whose requests end late anyway.
-SLOW_CLOSE_MAX_S: Final = 2.0
-# The same after its head engine was removed from the list. Once that no longer
-# listens, it can't be ordered to leave, and its members are bound for long.
+# Longest time until a head engine takes no more requests after its replica was
+# given up: an order to close that is lost is repeated, and a daemon that has
+# not heard of it sends more requests meanwhile.
+CLOSE_MARGIN_S: Final = 2.0
+# How long after a change of the configuration daemons may still send requests
+# with the time-outs of the last one.
+ADOPTION_LAG_S: Final = 3.0
+# Longest time for which a replica closes after its head engine was removed from
+# the list. Once that no longer listens, it can't be ordered to leave, and its
+# members are bound for long.
 UNLISTED_CLOSE_MAX_S: Final = 1.0
 # A sound engine may be silent for a second or so. One that has shown no sign of
 # life for this long has stopped.
--- a/yuccavalve/formation/health.py
+++ b/yuccavalve/formation/health.py
@@ -7,10 +7,9 @@
 
 from yuccavalve.fleet.const import MIN_STRIKES_STALLED, STALL_BUSY_S
 from yuccavalve.formation.const import (
-    CLOSE_MAX_S,
     DRAIN_MARGIN_S,
     ENGINE_SILENCE_S,
-    SLOW_CLOSE_MAX_S,
+    LINGER_S,
     UNLISTED_CLOSE_MAX_S,
 )
 from yuccavalve.formation.models import (
@@ -82,7 +81,7 @@
             closes = state is MemberState.CLOSING
             return GiveUpReason(
                 f'head engine is {state}, not open',
-                CLOSE_MAX_S if closes else 0,
+                facts.close_s if closes else 0,
             )
         model = model_of(facts, replica)
         if model is None:
@@ -92,24 +91,35 @@
             return GiveUpReason(broken)
         deaf = facts.dead.intersection(replica.members, self._draining_at_s)
         if deaf:
-            return GiveUpReason(f'{min(deaf)} no longer listens', CLOSE_MAX_S)
+            return GiveUpReason(
+                f'{min(deaf)} no longer listens',
+                min(facts.close_s, LINGER_S),
+            )
         if replica.head not in facts.engines:
             return GiveUpReason(
                 'head engine is no longer listed',
-                self._serves_s(replica.head, now_s),
+                self._serves_s(facts, replica.head, now_s),
             )
         return self._replacement_reason(facts, replica, model, spares, now_s)
 
-    def _serves_s(self, head: str, now_s: float) -> float:
-        """Return how long a head engine certainly serves on."""
+    def _serves_s(
+        self, facts: FormationInput, head: str, now_s: float
+    ) -> float:
+        """Return for how long a head engine can end its requests.
+
+        One that does not leave serves until all of them have ended.
+        """
+        serves_s = self.serves_until_s(head) - now_s
+        return max(0, min(facts.close_s, serves_s))
+
+    def serves_until_s(self, head: str) -> float:
+        """Return until when a head engine certainly takes orders."""
         unlisted_at_s = self._unlisted_at_s.get(head, math.inf)
         draining_at_s = self._draining_at_s.get(head, math.inf)
-        leaves_at_s = min(
-            now_s + CLOSE_MAX_S,
+        return min(
             unlisted_at_s + UNLISTED_CLOSE_MAX_S,
             draining_at_s + self.drain_s - DRAIN_MARGIN_S,
         )
-        return max(0, leaves_at_s - now_s)
 
     def _replacement_reason(
         self,
@@ -136,7 +146,7 @@
         ]
         if not outgoing:
             return None
-        serves_s = self._serves_s(replica.head, now_s)
+        serves_s = self._serves_s(facts, replica.head, now_s)
         if not serves_s:
             return GiveUpReason(f'head engine {replica.head} is leaving')
         domain = facts.engines[replica.head].fabric_domain
@@ -148,11 +158,10 @@
         ]
         if len(warm_spares) < len(outgoing):
             return None
-        is_slow = outgoing[0] in facts.slow
-        condition = 'is slow' if is_slow else 'leaves'
+        condition = 'is slow' if outgoing[0] in facts.slow else 'leaves'
         return GiveUpReason(
             f'{outgoing[0]} {condition}, spare {warm_spares[0].engine} is warm',
-            min(serves_s, SLOW_CLOSE_MAX_S if is_slow else CLOSE_MAX_S),
+            serves_s,
         )
 
     def _broken_reason(
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -6,7 +6,11 @@
 
 import attrs
 
-from yuccavalve.formation.const import FORMING_FACTOR, FORMING_MARGIN_S
+from yuccavalve.formation.const import (
+    CLOSE_MARGIN_S,
+    FORMING_FACTOR,
+    FORMING_MARGIN_S,
+)
 from yuccavalve.ports.fleet import (
     EngineRecord,
     GroupOrder,
@@ -81,6 +85,9 @@
         Models whose joins are suspended.
     missing
         Models without a replica, although a domain has the engines for one.
+    longest_request_s
+        Time after which each request that an engine runs now has ended: the
+        longest time-out of the service's routes.
     """
 
     service: ServiceProfile
@@ -102,6 +109,7 @@
     evacuated: frozenset[str] = frozenset()
     suspended: frozenset[str] = frozenset()
     missing: frozenset[str] = frozenset()
+    longest_request_s: float = 0
 
     @property
     def models(self) -> Sequence[ModelProfile]:
@@ -116,6 +124,11 @@
         record = self.engines.get(engine) or self.unlisted.get(engine)
         return record is not None and record.availability_zone in self.evacuated
 
+    @property
+    def close_s(self) -> float:
+        """Return the time in which a closing replica ends all its requests."""
+        return self.longest_request_s + CLOSE_MARGIN_S
+
     @property
     def joinable_models(self) -> Sequence[ModelProfile]:
         """Return the models whose joins are not suspended."""
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -22,7 +22,6 @@
 from yuccavalve.fleet.const import SHARE_PERIOD_S
 from yuccavalve.formation.adopt import adopt_forming
 from yuccavalve.formation.const import (
-    CLOSE_MAX_S,
     EPOCHS_PER_TERM,
     ORDER_RETRY_S,
     RECORD_LAG_S,
@@ -384,7 +383,7 @@
             self._give_up(
                 facts,
                 replicas[donor],
-                GiveUpReason('another model needs its engines', CLOSE_MAX_S),
+                GiveUpReason('another model needs its engines', facts.close_s),
             )
 
     def _give_up(
@@ -498,7 +497,8 @@
         The record of an engine that is no longer listed doesn't change, so
         the requests that daemons have there are counted instead.
         """
-        if self._now_s >= replica.leave_at_s:
+        serves_until_s = self.health.serves_until_s(replica.head)
+        if self._now_s >= min(replica.leave_at_s, serves_until_s):
             return False
         if self.health.standstill(
             facts, replica.head, replica.members, self._now_s
