Let head engines whose record expired end their requests

A head engine that is cut off from the store alone serves on, but its replica was left 1 s after its record had expired, with its requests broken off. It now closes as any other that works. One that withdrew its record is left shortly before the end of the drain time, as one that drains.

The new test of the planner fails without the change.

--- a/tests/formation/test_planner.py
+++ b/tests/formation/test_planner.py
@@ -168,6 +168,20 @@
         self.model.run(4, self.planner)
         self.assertEqual(self._open('m6'), 2)
 
+    def test_head_that_only_the_store_does_not_reach_ends_its_requests(
+        self,
+    ) -> None:
+        """It was ordered to leave 1 s after its record had expired."""
+        self.model.run(4, self.planner)
+        head = self.model.open_heads('m6')[0]
+        epoch = head.joined.epoch
+        self.model.busy_until_s[head.engine] = self.model.now_s + 10
+        self.model.cut(head.engine, store=True, planner=False)
+        self.model.run(9.8, self.planner)
+        self.assertIn(head.engine, self._former_members(epoch))
+        self.model.run(3, self.planner)
+        self.assertEqual(self._former_members(epoch), set())
+
     def test_unlisted_head_that_is_briefly_silent_is_open(self) -> None:
         for silent_s in (0.4, 1.2, 1.4):
             self.model.run(4, self.planner)
--- a/yuccavalve/formation/const.py
+++ b/yuccavalve/formation/const.py
@@ -90,10 +90,6 @@
 # How long after a change of the configuration daemons may still send requests
 # with the time-outs of the last one.
 ADOPTION_LAG_S: Final = 3.0
-# Longest time for which a replica closes after its head engine was removed from
-# the list. Once that no longer listens, it can't be ordered to leave, and its
-# members are bound for long.
-UNLISTED_CLOSE_MAX_S: Final = 1.0
 # A sound engine may be silent for a second or so. One that has shown no sign of
 # life for this long has stopped.
 ENGINE_SILENCE_S: Final = 1.5
--- a/yuccavalve/formation/health.py
+++ b/yuccavalve/formation/health.py
@@ -10,7 +10,6 @@
     DRAIN_MARGIN_S,
     ENGINE_SILENCE_S,
     LINGER_S,
-    UNLISTED_CLOSE_MAX_S,
 )
 from yuccavalve.formation.models import (
     FormationInput,
@@ -39,7 +38,6 @@
     drain_s: float
     _draining_at_s: dict[str, float] = attrs.field(factory=dict)
     _struck_at_s: dict[str, float] = attrs.field(factory=dict)
-    _unlisted_at_s: dict[str, float] = attrs.field(factory=dict)
     _has_begun: bool = False
 
     def update(self, facts: FormationInput, now_s: float) -> None:
@@ -49,10 +47,6 @@
         """
         seen_at_s = now_s if self._has_begun else -math.inf
         self._has_begun = True
-        self._unlisted_at_s = {
-            engine: self._unlisted_at_s.get(engine, seen_at_s)
-            for engine in facts.unlisted
-        }
         self._struck_at_s = {
             engine: self._struck_at_s.get(engine, now_s)
             for engine, strikes in facts.strikes.items()
@@ -60,7 +54,7 @@
         }
         draining = {
             record.engine
-            for record in facts.engines.values()
+            for record in (*facts.unlisted.values(), *facts.engines.values())
             if record.draining
         }
         self._draining_at_s = {
@@ -113,13 +107,12 @@
         return max(0, min(facts.close_s, serves_s))
 
     def serves_until_s(self, head: str) -> float:
-        """Return until when a head engine certainly takes orders."""
-        unlisted_at_s = self._unlisted_at_s.get(head, math.inf)
+        """Return until when a head engine certainly takes orders.
+
+        One whose record expired does not leave: it is cut off from the store.
+        """
         draining_at_s = self._draining_at_s.get(head, math.inf)
-        return min(
-            unlisted_at_s + UNLISTED_CLOSE_MAX_S,
-            draining_at_s + self.drain_s - DRAIN_MARGIN_S,
-        )
+        return draining_at_s + self.drain_s - DRAIN_MARGIN_S
 
     def _replacement_reason(
         self,
