Keep since when engines leave across changes of the planner

A planner that took over did not know how long a head engine had been leaving, took it for about to stop, and ordered it to leave at once, which broke its requests off. Each daemon now keeps the time at which it read that an engine leaves, and a planner starts from it.

Tests: the planner's fails without the change; those of the view cover records that drain, are withdrawn, expire, or were leaving when first read.

--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -51,6 +51,34 @@
         self.assertFalse(self._serves())
         self.assertEqual(self.view.withdrawn, {'i-1'})
 
+    def test_time_at_which_an_engine_begins_to_leave_is_kept(self) -> None:
+        """A planner that takes over needs it to know how long it serves."""
+        draining = attrs.evolve(_RECORD, draining=True)
+        self._apply(draining, 2)
+        self._apply(attrs.evolve(draining, slots=7), 3)
+        self.assertEqual(self.view.leaving_at_s, {'i-1': 2})
+        self._apply(None, 4)
+        self.assertEqual(self.view.leaving_at_s, {'i-1': 2})
+        self._apply(attrs.evolve(_RECORD, born_ms=200), 5)
+        self.assertEqual(self.view.leaving_at_s, {})
+
+    def test_time_at_which_a_record_is_withdrawn_is_kept(self) -> None:
+        self._apply(None, 2)
+        self.assertEqual(self.view.leaving_at_s, {'i-1': 2})
+
+    def test_engine_whose_record_expires_does_not_leave(self) -> None:
+        self._apply(None, 5)
+        self.assertEqual(self.view.leaving_at_s, {})
+
+    def test_time_is_unknown_for_engines_that_were_leaving_when_first_read(
+        self,
+    ) -> None:
+        view = FleetView()
+        draining = attrs.evolve(_RECORD, draining=True)
+        view.apply(EngineChanges(1, {'i-1': draining}), 1)
+        view.apply(EngineChanges(2, {'i-1': draining}), 2)
+        self.assertEqual(view.leaving_at_s, {})
+
     def test_expired_record_is_kept_as_unlisted(self) -> None:
         self._apply(None, 5)
         self.assertFalse(self._serves())
--- a/tests/formation/test_planner.py
+++ b/tests/formation/test_planner.py
@@ -182,6 +182,22 @@
         self.model.run(3, self.planner)
         self.assertEqual(self._former_members(epoch), set())
 
+    def test_next_planner_lets_a_leaving_head_end_its_requests(self) -> None:
+        """A planner that took over ordered it to leave at once."""
+        for is_listed in (True, False):
+            self.model.run(6, self.planner)
+            head = self.model.open_heads('m6')[0]
+            epoch = head.joined.epoch
+            self.model.busy_until_s[head.engine] = self.model.now_s + 1.2
+            if is_listed:
+                head.draining = True
+            else:
+                self.model.depart(head.engine, _DRAIN_S)
+            self.model.run(0.3, self.planner)
+            self.planner = _planner(2 + int(not is_listed))
+            self.model.run(1.5, self.planner)
+            self.assertEqual(self._former_members(epoch), set())
+
     def test_unlisted_head_that_is_briefly_silent_is_open(self) -> None:
         for silent_s in (0.4, 1.2, 1.4):
             self.model.run(4, self.planner)
--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -92,6 +92,7 @@
     draining: bool = False
     died_at_s: float = 0
     unlisted_at_s: float = float('inf')
+    leaving_at_s: float = float('inf')
     last_record: EngineRecord | None = None
     silent_until_s: float = 0
     unanswered_at_s: float = float('inf')
@@ -331,7 +332,10 @@
         known = self._views[-1][1] if self._views else {}
         records: dict[str, EngineRecord] = {}
         for name, engine in self.engines.items():
-            if self.now_s >= engine.unlisted_at_s:
+            is_unlisted = self.now_s >= engine.unlisted_at_s
+            if engine.draining or (is_unlisted and not engine.cut_from_store):
+                engine.leaving_at_s = min(engine.leaving_at_s, self.now_s)
+            if is_unlisted:
                 continue
             if engine.alive and not engine.cut_from_store:
                 records[name] = engine.record(self.now_s)
@@ -379,6 +383,11 @@
             },
             evacuated=self.evacuated,
             longest_request_s=self.longest_request_s,
+            leaving_at_s={
+                name: engine.leaving_at_s
+                for name, engine in self.engines.items()
+                if engine.leaving_at_s <= self.now_s
+            },
         )
 
     def _is_found_dead(self, engine: ModelEngine) -> bool:
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -234,6 +234,7 @@
             engines=listed,
             unlisted=unlisted,
             withdrawn=frozenset(view.withdrawn & unlisted.keys()),
+            leaving_at_s=view.leaving_at_s,
             dead=self._prober.dead(listed, now_s),
             slow=self._prober.slow(now_s),
             strikes=strikes,
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -51,6 +51,9 @@
     withdrawn
         Those of them that withdrew their record. They serve on for some
         seconds, sometimes longer. The records of the others expired.
+    leaving_at_s
+        Monotonic times at which engines were first known to drain or to have
+        withdrawn their record, unless they did when they were first read.
     """
 
     version: int = 0
@@ -59,6 +62,7 @@
     revision: int = 0
     unlisted: dict[str, EngineRecord] = attrs.field(factory=dict)
     withdrawn: set[str] = attrs.field(factory=set)
+    leaving_at_s: dict[str, float] = attrs.field(factory=dict)
     on_record: Callable[[EngineRecord, float, bool], None] = _ignore_record
     _unlisted_at_s: dict[str, float] = attrs.field(factory=dict)
     _renewed_at_s: dict[str, float] = attrs.field(factory=dict)
@@ -176,6 +180,7 @@
         if current is None or current == self._as_told(current):
             return False
         self._records[engine] = self._as_told(current)
+        self.leaving_at_s.setdefault(engine, self.read_at_s)
         self._record_change(engine)
         return True
 
@@ -263,12 +268,21 @@
             self._warm_at_s[engine] = now_s + record.warmup_left_s
         record = self._as_told(record)
         self._missing_since_s.pop(engine, None)
+        self._record_leaving(record, current, now_s)
         self.forget(engine)
         self._renewed_at_s[engine] = now_s
         if record != current:
             self._records[engine] = record
             self._record_change(engine)
 
+    def _record_leaving(
+        self, record: EngineRecord, current: EngineRecord | None, now_s: float
+    ) -> None:
+        if not record.draining:
+            self.leaving_at_s.pop(record.engine, None)
+        elif current is not None and not current.draining:
+            self.leaving_at_s[record.engine] = now_s
+
     def _is_start(self, record: EngineRecord) -> bool:
         """Return whether an engine started after the first reading."""
         if self.read_at_s <= self.first_read_at_s:
@@ -311,6 +325,9 @@
             for leaving, born_ms in self._leaving_born_ms.items()
             if leaving in self._records or leaving in self.unlisted
         }
+        for leaving in self.leaving_at_s.keys() - self._records.keys():
+            if leaving not in self.unlisted:
+                self.leaving_at_s.pop(leaving)
         settled = self.is_settled(now_s)
         for engine, since_s in list(self._missing_since_s.items()):
             silent_s = since_s - self._renewed_at_s.get(engine, _NEVER_S)
@@ -328,6 +345,8 @@
         self._unlisted_at_s[engine] = self.read_at_s
         if silent_s < MIN_EXPIRY_SILENCE_S:
             self.withdrawn.add(engine)
+            if not record.draining:
+                self.leaving_at_s[engine] = self.read_at_s
         self._record_change(engine)
         logging.info(
             'event=engine_gone engine=%s silent_ms=%d',
--- a/yuccavalve/formation/health.py
+++ b/yuccavalve/formation/health.py
@@ -43,9 +43,11 @@
     def update(self, facts: FormationInput, now_s: float) -> None:
         """Record since when engines have been leaving or have strikes.
 
-        Those that leave at the first update may have done so for long.
+        Those that leave at the first update may have done so for long, unless
+        this daemon knows since when.
         """
-        seen_at_s = now_s if self._has_begun else -math.inf
+        seen_at_s = {} if self._has_begun else facts.leaving_at_s
+        unknown_s = now_s if self._has_begun else -math.inf
         self._has_begun = True
         self._struck_at_s = {
             engine: self._struck_at_s.get(engine, now_s)
@@ -58,7 +60,9 @@
             if record.draining
         }
         self._draining_at_s = {
-            engine: self._draining_at_s.get(engine, seen_at_s)
+            engine: self._draining_at_s.get(
+                engine, seen_at_s.get(engine, unknown_s)
+            )
             for engine in draining | facts.withdrawn
         }
 
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -50,6 +50,9 @@
         Engines that the store no longer lists but that may still run, by id.
     withdrawn
         Unlisted engines that removed their own record because they leave.
+    leaving_at_s
+        Monotonic times at which this daemon first knew that engines leave, by
+        engine; those that it never knew otherwise are left out.
     dead
         Engines that did not answer a probe.
     strikes
@@ -110,6 +113,7 @@
     suspended: frozenset[str] = frozenset()
     missing: frozenset[str] = frozenset()
     longest_request_s: float = 0
+    leaving_at_s: Mapping[str, float] = attrs.field(factory=dict)
 
     @property
     def models(self) -> Sequence[ModelProfile]:
