Take a reset connection for a sign of life of an engine

Engines reset connections beyond their number. The planner took a probe that was reset for one that was not answered: after 1.5 s the engine counted as dead, and its replica was given up. Other daemons whose orders were reset confirmed that it had stopped, so that its members could join other replicas while the head was open. A reset of an established connection now ends a silence, and a daemon that passes an order on probes the engine before it calls it silent. A refused connection still counts as no answer.

Tests of the prober, the passed orders and the client fail without the change.

--- a/tests/daemon/test_engine_prober.py
+++ b/tests/daemon/test_engine_prober.py
@@ -10,6 +10,7 @@
 from yuccavalve.clock import ManualClock
 from yuccavalve.daemon.engine_prober import EngineProber
 from yuccavalve.daemon.loop_delay import LoopDelay
+from yuccavalve.exceptions import EngineResetError
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.formation.const import ENGINE_SILENCE_S, PROBES_AT_ONCE
 from yuccavalve.ports.fleet import (
@@ -30,10 +31,13 @@
         Called while a probe is in progress.
     report
         The answer to each probe; None for no answer.
+    resets
+        Whether the connection of each probe is reset.
     """
 
     during_probe: Callable[[], None] = lambda: None
     report: EngineReport | None = None
+    resets: bool = False
     in_progress: int = 0
     most_in_progress: int = 0
 
@@ -50,6 +54,8 @@
         await asyncio.sleep(0)
         self.during_probe()
         self.in_progress -= 1
+        if self.resets:
+            raise EngineResetError('connection reset')
         return self.report
 
 
@@ -106,6 +112,20 @@
         await self.prober.async_probe(self.record)
         self.assertEqual(self._dead(), frozenset())
 
+    async def test_engine_that_resets_connections_is_not_silent(self) -> None:
+        """Engines do so beyond their number of connections."""
+        self.engines.resets = True
+        await self._async_probe_until_silent_too_long()
+        self.assertEqual(self._dead(), frozenset())
+        self.assertFalse(self.prober.is_silent('i-1'))
+
+    async def test_reset_connection_ends_a_silence(self) -> None:
+        await self._async_probe_until_silent_too_long()
+        self.assertEqual(self._dead(), {'i-1'})
+        self.engines.resets = True
+        await self.prober.async_probe(self.record)
+        self.assertEqual(self._dead(), frozenset())
+
     async def test_engine_is_not_dead_when_the_planner_was_delayed(
         self,
     ) -> None:
--- a/tests/daemon/test_order_passing.py
+++ b/tests/daemon/test_order_passing.py
@@ -10,6 +10,7 @@
 from yuccavalve.clock import BootClock
 from yuccavalve.daemon.loop_delay import LoopDelay
 from yuccavalve.daemon.order_passing import OrderPasser, PassedOrders
+from yuccavalve.exceptions import EngineResetError
 from yuccavalve.formation import OrderTask
 from yuccavalve.formation.const import ENGINE_SILENCE_S, PASSING_DAEMONS
 from yuccavalve.membership import Member
@@ -17,6 +18,7 @@
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.ports.fleet import (
     EngineRecord,
+    EngineReport,
     GroupOrder,
     GroupOrderKind,
     OrderOutcome,
@@ -28,6 +30,7 @@
     """An engine that gives its outcomes in order, the last one repeatedly."""
 
     outcomes: list[OrderOutcome]
+    resets: bool = False
     orders: list[tuple[EngineRecord, GroupOrder]] = attrs.field(factory=list)
 
     async def async_order(
@@ -39,6 +42,12 @@
             return self.outcomes.pop(0)
         return self.outcomes[0]
 
+    async def async_report(self, engine: EngineRecord) -> EngineReport | None:
+        """Return no report, or reset the connection."""
+        if self.resets:
+            raise EngineResetError('connection reset')
+        return None
+
 
 @attrs.define
 class _Peers:
@@ -113,6 +122,14 @@
         self.assertIs(outcome, OrderOutcome.SILENT)
         self.assertGreaterEqual(took_s, ENGINE_SILENCE_S)
 
+    async def test_engine_that_resets_connections_is_not_silent(self) -> None:
+        """Its members joined others while its replica was open."""
+        daemons = [self._daemon(OrderOutcome.UNKNOWN) for _ in range(3)]
+        for daemon in daemons:
+            daemon.orders.resets = True
+        outcome = await self._async_pass_on(daemons)
+        self.assertIs(outcome, OrderOutcome.UNKNOWN)
+
     async def test_too_few_replies_prove_nothing(self) -> None:
         daemon = self._daemon(OrderOutcome.UNKNOWN)
         outcome = await self._async_pass_on([daemon])
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tests.support.byte_server import ByteServer
+from yuccavalve.exceptions import EngineResetError
 from yuccavalve.fleet.notices import NoticeRelay
 from yuccavalve.ports.fleet import (
     EngineRecord,
@@ -74,6 +75,19 @@
         await self.server.caller_closed.wait()
         self.assertEqual(self.server.request_head, b'')
 
+    async def test_only_an_established_connection_is_reset(self) -> None:
+        """A probe that is reset was taken for one that is not answered."""
+        engine = EngineRecord(
+            'i-1', 'llm', self.server.address, 'zone-a', draining=False
+        )
+        control = EngineControl(self.client, NoticeRelay())
+        self.assertIsNone(await control.async_report(engine))
+        self.server.resets = True
+        with self.assertRaises(EngineResetError):
+            await control.async_report(engine)
+        await self.server.async_stop()
+        self.assertIsNone(await control.async_report(engine))
+
     async def test_endless_report_of_an_engine_is_closed_early(self) -> None:
         self.server.answer_bytes = _HEAD
         self.server.repeated_bytes = _SPACES
--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -17,6 +17,7 @@
 from yuccavalve.exceptions import (
     BackendLostError,
     BackendNotReachedError,
+    BackendResetError,
     PermitExpiredError,
 )
 from yuccavalve.held import ALWAYS_BYTES, HeldBytes
@@ -107,6 +108,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._error = ''
+        self._is_reset = False
         self._head_received = False
         self._waiter: asyncio.Future[None] | None = None
         self._transport: Any = None
@@ -222,6 +224,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the answer unless it is complete."""
+        self._is_reset = isinstance(exc, ConnectionResetError)
         self._fail('connection ended' if exc is None else repr(exc))
         self._wake()
 
@@ -312,6 +315,8 @@
 
     def _raise_if_failed(self) -> None:
         if self._error:
+            if self._is_reset:
+                raise BackendResetError(self._error)
             raise BackendLostError(self._error)
 
     def _wake(self) -> None:
--- a/yuccavalve/daemon/engine_prober.py
+++ b/yuccavalve/daemon/engine_prober.py
@@ -8,6 +8,7 @@
 
 from yuccavalve.clock import Clock
 from yuccavalve.daemon.loop_delay import LoopDelay
+from yuccavalve.exceptions import EngineResetError
 from yuccavalve.fleet.const import UNLISTED_RETENTION_S
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.formation.const import (
@@ -201,11 +202,16 @@
         """Probe an engine, and record whether it is silent or slow.
 
         A probe that timed out while this daemon was slow proves nothing; it is
-        repeated.
+        repeated. An engine that resets connections is not silent.
         """
         async with self._slots:
             sent_at_s = self.clock.now_s()
-            report = await self._async_report(record)
+            try:
+                report = await self._async_report(record)
+            except EngineResetError:
+                self._dead.pop(record.engine, None)
+                self._silent.pop(record.engine, None)
+                return
         now_s = self.clock.now_s()
         if report is not None:
             self._dead.pop(record.engine, None)
@@ -268,5 +274,11 @@
         if first.done():
             return first.result()
         second = asyncio.create_task(self.orders.async_report(record))
-        reports = await asyncio.gather(first, second)
-        return reports[0] or reports[1]
+        reports = await asyncio.gather(first, second, return_exceptions=True)
+        for report in reports:
+            if isinstance(report, EngineReport):
+                return report
+        for failure in reports:
+            if isinstance(failure, BaseException):
+                raise failure
+        return None
--- a/yuccavalve/daemon/order_passing.py
+++ b/yuccavalve/daemon/order_passing.py
@@ -15,6 +15,7 @@
 
 from yuccavalve.clock import Clock
 from yuccavalve.daemon.loop_delay import LoopDelay
+from yuccavalve.exceptions import EngineResetError
 from yuccavalve.formation import OrderTask
 from yuccavalve.formation.const import (
     ENGINE_SILENCE_S,
@@ -133,7 +134,8 @@
     async def async_carry_out(self, request: Any) -> str:
         """Repeat an order until it is answered; return its outcome.
 
-        Silence counts only if this daemon was not slow itself in the end.
+        Silence counts only if this daemon was not slow itself in the end, and
+        the engine does not reset connections.
         """
         order = GroupOrder(
             GroupOrderKind(request.kind),
@@ -153,9 +155,18 @@
             if outcome is not OrderOutcome.UNKNOWN:
                 return outcome.value
             is_conclusive = not self.loop_delay.was_delayed_since(began_at_s)
-        if is_conclusive and not self.is_doubtful_reach():
-            return OrderOutcome.SILENT.value
-        return OrderOutcome.UNKNOWN.value
+        if not is_conclusive or self.is_doubtful_reach():
+            return OrderOutcome.UNKNOWN.value
+        if await self._async_shows_life(engine):
+            return OrderOutcome.UNKNOWN.value
+        return OrderOutcome.SILENT.value
+
+    async def _async_shows_life(self, engine: EngineRecord) -> bool:
+        """Return whether an engine reports, or resets the connection."""
+        try:
+            return await self.orders.async_report(engine) is not None
+        except EngineResetError:
+            return True
 
     async def _async_order(
         self, engine: EngineRecord, order: GroupOrder, limit_s: float
--- a/yuccavalve/exceptions.py
+++ b/yuccavalve/exceptions.py
@@ -7,8 +7,10 @@
 __all__ = (
     'BackendLostError',
     'BackendNotReachedError',
+    'BackendResetError',
     'ConfigurationInvalidError',
     'EngineRefusedError',
+    'EngineResetError',
     'EngineUnreachableError',
     'FeedHistoryLostError',
     'PermitExpiredError',
@@ -56,6 +58,10 @@
     """The exchange failed after the request may have been sent."""
 
 
+class BackendResetError(BackendLostError):
+    """The server reset an established connection."""
+
+
 class TransactionConflictError(YuccavalveError):
     """A condition of a transaction did not hold.
 
@@ -97,6 +103,13 @@
         self.code = code
 
 
+class EngineResetError(YuccavalveError):
+    """An engine reset an established connection: it runs, but did not answer.
+
+    Engines do so beyond their number of connections.
+    """
+
+
 class EngineUnreachableError(YuccavalveError):
     """An engine gave no valid answer; the outcome is unknown."""
 
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -276,4 +276,10 @@
         """
 
     async def async_report(self, engine: EngineRecord) -> EngineReport | None:
-        """Return the engine's report; None without a valid one in time."""
+        """Return the engine's report; None without a valid one in time.
+
+        Raises
+        ------
+        EngineResetError
+            When the engine reset the connection, which shows that it runs.
+        """
