--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -92,6 +92,7 @@
     draining: bool = False
     died_at_s: float = 0
     unlisted_at_s: float = float('inf')
+    leaving_at_s: float = float('inf')
     last_record: EngineRecord | None = None
     silent_until_s: float = 0
     unanswered_at_s: float = float('inf')
@@ -162,6 +163,8 @@
         Engines that refuse connections but still work.
     busy_until_s
         Times until which head engines run requests, by engine.
+    longest_request_s
+        Longest time-out of the service's routes.
     has_other_daemons
         Whether daemons besides the planner pass orders on to engines.
     detection_s
@@ -189,6 +192,7 @@
     busy_until_s: dict[str, float] = attrs.field(factory=dict)
     crashing: set[str] = attrs.field(factory=set)
     crashes: list[float] = attrs.field(factory=list)
+    longest_request_s: float = 8
     has_other_daemons: bool = True
     detection_s: float = 1
     holds: Callable[[ModelEngine, GroupOrder], bool] = lambda *_: False
@@ -328,7 +332,10 @@
         known = self._views[-1][1] if self._views else {}
         records: dict[str, EngineRecord] = {}
         for name, engine in self.engines.items():
-            if self.now_s >= engine.unlisted_at_s:
+            is_unlisted = self.now_s >= engine.unlisted_at_s
+            if engine.draining or (is_unlisted and not engine.cut_from_store):
+                engine.leaving_at_s = min(engine.leaving_at_s, self.now_s)
+            if is_unlisted:
                 continue
             if engine.alive and not engine.cut_from_store:
                 records[name] = engine.record(self.now_s)
@@ -375,6 +382,12 @@
                 for name, until_s in self.busy_until_s.items()
             },
             evacuated=self.evacuated,
+            longest_request_s=self.longest_request_s,
+            leaving_at_s={
+                name: engine.leaving_at_s
+                for name, engine in self.engines.items()
+                if engine.leaving_at_s <= self.now_s
+            },
         )
 
     def _is_found_dead(self, engine: ModelEngine) -> bool:
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -6,7 +6,11 @@
 
 import attrs
 
-from yuccavalve.formation.const import FORMING_FACTOR, FORMING_MARGIN_S
+from yuccavalve.formation.const import (
+    CLOSE_MARGIN_S,
+    FORMING_FACTOR,
+    FORMING_MARGIN_S,
+)
 from yuccavalve.ports.fleet import (
     EngineRecord,
     GroupOrder,
@@ -46,6 +50,9 @@
         Engines that the store no longer lists but that may still run, by id.
     withdrawn
         Unlisted engines that removed their own record because they leave.
+    leaving_at_s
+        Monotonic times at which this daemon first knew that engines leave, by
+        engine; those that it never knew otherwise are left out.
     dead
         Engines that did not answer a probe.
     strikes
@@ -81,6 +88,9 @@
         Models whose joins are suspended.
     missing
         Models without a replica, although a domain has the engines for one.
+    longest_request_s
+        Time after which each request that an engine runs now has ended: the
+        longest time-out of the service's routes.
     """
 
     service: ServiceProfile
@@ -102,6 +112,8 @@
     evacuated: frozenset[str] = frozenset()
     suspended: frozenset[str] = frozenset()
     missing: frozenset[str] = frozenset()
+    longest_request_s: float = 0
+    leaving_at_s: Mapping[str, float] = attrs.field(factory=dict)
 
     @property
     def models(self) -> Sequence[ModelProfile]:
@@ -116,6 +128,11 @@
         record = self.engines.get(engine) or self.unlisted.get(engine)
         return record is not None and record.availability_zone in self.evacuated
 
+    @property
+    def close_s(self) -> float:
+        """Return the time in which a closing replica ends all its requests."""
+        return self.longest_request_s + CLOSE_MARGIN_S
+
     @property
     def joinable_models(self) -> Sequence[ModelProfile]:
         """Return the models whose joins are not suspended."""
