Refuse requests that a stop of the daemon may cut before they are passed on

Callers of a daemon in a planned stop whose requests came after SIGTERM, or waited in its queue, were cancelled with 3004 at the end of drain_bound_s if engines took longer, at-most-once requests too.

Cause: until entry_lifetime_s had passed, every request was accepted, and later every accepted one was sent, whatever its deadline.

--- a/yuccavalve/daemon/application.py
+++ b/yuccavalve/daemon/application.py
@@ -31,6 +31,7 @@
 from yuccavalve.requests.preconditions import (
     Authenticate,
     CheckAvailability,
+    CheckStop,
     ResolveService,
 )
 from yuccavalve.requests.quarantine import CheckQuarantine, QuarantineGuard
@@ -139,11 +140,13 @@
             ParseHeaders(),
             Authenticate(node.adoption),
             CheckAvailability(node.adoption, node.clock, node),
+            CheckStop(node),
             ReadBody(limits.max_body_bytes),
             ParseBody(),
             ResolveService(node.adoption),
             deduplicate,
             CheckQuarantine(guard),
+            CheckStop(node),
             Admit(self.admission),
             ClaimLedgerRow(self.ledger, deduplicate, node.local_member.member),
             Dispatch(
@@ -158,6 +161,7 @@
                 limits.first_byte_s,
                 guard,
                 self.limits,
+                node,
             ),
             Relay(
                 node.clock,
--- a/yuccavalve/daemon/node.py
+++ b/yuccavalve/daemon/node.py
@@ -1,5 +1,6 @@
 """State of a daemon and the ports to external systems."""
 
+import math
 import uuid
 from random import Random
 
@@ -71,6 +72,8 @@
     refusing
         Whether new requests are refused, since the entry answers that
         named this daemon have expired.
+    answer_until_s
+        Monotonic time before which a stop cancels no requests in flight.
     members_listed
         Whether the rows of all members were read since the start.
     """
@@ -100,6 +103,7 @@
     usage: ReplicaUsage = attrs.field(factory=ReplicaUsage)
     stopping: bool = False
     refusing: bool = False
+    answer_until_s: float = math.inf
     members_listed: bool = False
 
     @property
@@ -111,6 +115,10 @@
         """Return whether new requests are refused because of a stop."""
         return self.refusing
 
+    def may_cut(self, deadline_at_s: float) -> bool:
+        """Return whether a stop may cancel a request before its deadline."""
+        return deadline_at_s > self.answer_until_s
+
     def other_caller_addresses(self) -> tuple[str, ...]:
         """Return the addresses of other live daemons for callers."""
         return tuple(
@@ -149,7 +157,11 @@
 
     def mark_leaving(self) -> None:
         """Mark this daemon as leaving, as seen by peers and entry answers."""
+        stop = self.settings.stop
         self.stopping = True
+        self.answer_until_s = (
+            self.clock.now_s() + stop.entry_lifetime_s + stop.drain_bound_s
+        )
         self.roster.local_member = attrs.evolve(self.local_member, leaving=True)
 
 
--- a/yuccavalve/daemon/runner.py
+++ b/yuccavalve/daemon/runner.py
@@ -198,12 +198,15 @@
 
         Mark this daemon as leaving and wait until entry answers that name
         it have expired. Then refuse new requests, wait for those in flight
-        and remove the member row. A second signal ends both waits.
+        and remove the member row. A second signal ends both waits. Requests
+        whose deadline is after the end of both waits are refused before they
+        are passed on.
         """
         node = self._node
         stop = node.settings.stop
         logging.info('stopping=%s', node.local_member.member)
         node.mark_leaving()
+        self._requests.admission.refuse_leaving(node.may_cut)
         await self._async_register_leaving()
         await asyncio.gather(*(duty.async_release() for duty in self._duties))
         second = asyncio.create_task(self._signals.get())
--- a/yuccavalve/requests/admit.py
+++ b/yuccavalve/requests/admit.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 import attrs
@@ -14,6 +15,7 @@
 from yuccavalve.requests.const import SWEEP_PERIOD_S
 from yuccavalve.requests.models import Exchange
 from yuccavalve.requests.picker import SlotSource
+from yuccavalve.requests.preconditions import leaving_error
 from yuccavalve.results import ResultCode
 
 __all__ = ('Admission', 'Admit')
@@ -148,6 +150,19 @@
             if not waiter.done():
                 waiter.set_exception(refusal)
 
+    def refuse_leaving(self, may_cut: Callable[[float], bool]) -> None:
+        """Refuse queued requests that a stop may cut.
+
+        Parameters
+        ----------
+        may_cut
+            Returns whether a request with a deadline may be cut.
+        """
+        for state in self._states.values():
+            for ticket in tuple(state.waiters):
+                if may_cut(ticket.deadline_at_s):
+                    _refuse_leaving(state, ticket)
+
     def _count_admitted(self, state: _GroupState, ticket: Ticket) -> None:
         state.in_flight_by_workspace[ticket.workspace] += 1
         self._tokens_by_workspace[ticket.workspace] += ticket.cost_tokens
@@ -231,6 +246,13 @@
         return state
 
 
+def _refuse_leaving(state: _GroupState, ticket: Ticket) -> None:
+    state.queue.remove(ticket)
+    waiter = state.waiters.pop(ticket)
+    if not waiter.done():
+        waiter.set_exception(leaving_error())
+
+
 @attrs.frozen
 class Admit:
     """Admit a request, or queue it until there is room."""
--- a/yuccavalve/requests/dispatch.py
+++ b/yuccavalve/requests/dispatch.py
@@ -34,6 +34,7 @@
 from yuccavalve.requests.limits import LimitGuard
 from yuccavalve.requests.models import Exchange
 from yuccavalve.requests.picker import ReplicaPicker
+from yuccavalve.requests.preconditions import StopStatus, leaving_error
 from yuccavalve.requests.quarantine import QuarantineGuard
 from yuccavalve.results import ResultCode
 
@@ -88,6 +89,7 @@
     first_byte_s: float
     guard: QuarantineGuard
     limits: LimitGuard
+    stop_status: StopStatus
 
     async def async_apply(self, exchange: Exchange) -> None:
         """Set the stream of the answer, or refuse the request."""
@@ -103,6 +105,7 @@
         attempts: _Attempts,
     ) -> bool:
         """Try one backend server; return whether it began to answer."""
+        self._check_stop(exchange, attempts)
         self._check_configuration(attempts)
         self._select_allowed_target(exchange, attempts)
         attempts.count += 1
@@ -127,7 +130,9 @@
         asked_at_s = self.clock.now_s()
         exchange.sent_at_s = asked_at_s
         try:
-            stream = await self.client.async_open(self._backend_call(exchange))
+            stream = await self.client.async_open(
+                self._backend_call(exchange, attempts)
+            )
         except BackendNotReachedError as error:
             attempts.error_text = str(error)
             return False
@@ -195,6 +200,13 @@
         attempts.error_text = error_text
         self.canceller.cancel(exchange)
 
+    def _check_stop(self, exchange: Exchange, attempts: _Attempts) -> None:
+        """Refuse a request that a stop may cut, unless it may have run."""
+        if attempts.may_have_run:
+            return
+        if self.stop_status.may_cut(exchange.deadline_at_s):
+            raise leaving_error()
+
     def _check_configuration(self, attempts: _Attempts) -> None:
         """Refuse to send while the configuration is not confirmed."""
         if self.adoption.is_fresh(self.clock.now_s()):
@@ -288,7 +300,9 @@
             retry_after_s(self.random),
         )
 
-    def _backend_call(self, exchange: Exchange) -> BackendCall:
+    def _backend_call(
+        self, exchange: Exchange, attempts: _Attempts
+    ) -> BackendCall:
         remaining_s = exchange.deadline_at_s - self.clock.now_s()
         first_byte_s = max(
             _MIN_FIRST_BYTE_S,
@@ -309,10 +323,17 @@
             headers=headers,
             body=exchange.body,
             first_byte_s=first_byte_s,
-            may_send=lambda: self.limits.may_send(
-                backend_id(exchange.target, exchange.incarnation),
-                exchange.permit,
-            ),
+            may_send=lambda: self._may_send(exchange, attempts),
+        )
+
+    def _may_send(self, exchange: Exchange, attempts: _Attempts) -> bool:
+        if not attempts.may_have_run and self.stop_status.may_cut(
+            exchange.deadline_at_s
+        ):
+            return False
+        return self.limits.may_send(
+            backend_id(exchange.target, exchange.incarnation),
+            exchange.permit,
         )
 
 
--- a/yuccavalve/requests/preconditions.py
+++ b/yuccavalve/requests/preconditions.py
@@ -17,8 +17,10 @@
 __all__ = (
     'Authenticate',
     'CheckAvailability',
+    'CheckStop',
     'ResolveService',
     'StopStatus',
+    'leaving_error',
 )
 
 _RETRY_UNCONFIRMED_S = 2.0
@@ -34,6 +36,17 @@
         This begins once the entry addresses given to callers have expired.
         """
 
+    def may_cut(self, deadline_at_s: float) -> bool:
+        """Return whether a stop may cancel a request before its deadline."""
+
+
+def leaving_error() -> RequestRefusedError:
+    """Return the refusal of a request that another daemon has to serve."""
+    return RequestRefusedError(
+        ResultCode.MEMBER_LEAVING,
+        retry_after_s=_RETRY_LEAVING_S,
+    )
+
 
 @attrs.frozen
 class Authenticate:
@@ -64,10 +77,7 @@
     async def async_apply(self, exchange: Exchange) -> None:
         """Refuse the request if the daemon may not take new work."""
         if self.stop_status.refuses_new_requests():
-            raise RequestRefusedError(
-                ResultCode.MEMBER_LEAVING,
-                retry_after_s=_RETRY_LEAVING_S,
-            )
+            raise leaving_error()
         if not self.adoption.is_fresh(self.clock.now_s()):
             raise RequestRefusedError(
                 ResultCode.CONFIGURATION_UNCONFIRMED,
@@ -75,6 +85,18 @@
             )
 
 
+@attrs.frozen
+class CheckStop:
+    """Refuse a request that a stop may cancel before its deadline."""
+
+    stop_status: StopStatus
+
+    async def async_apply(self, exchange: Exchange) -> None:
+        """Refuse the request if another daemon has to serve it."""
+        if self.stop_status.may_cut(exchange.deadline_at_s):
+            raise leaving_error()
+
+
 @attrs.frozen
 class ResolveService:
     """Find the service that the caller names."""
