Keep stalled attempts until a neighbor has sent an event

A stream whose engine was silent when its daemon noticed that it reached no engine was cut if no neighbor took it over, though the engine went on.

Cause: stalled attempts were dropped before the request was passed on to a neighbor.

They are now watched while a neighbor opens its answer. The first event of either decides; a stalled attempt is also continued if no neighbor takes the request. The head of a neighbor's stream is sent to the caller with its first event, since the stalled engine may still send another one.

tests/platform/test_partitioned_daemons.py: a stalled engine goes on while the neighbors hold the request, and after none was reached; before, both streams broke off. The cut of these tests delays bytes instead of dropping them, as connections do.

--- a/tests/platform/test_partitioned_daemons.py
+++ b/tests/platform/test_partitioned_daemons.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -23,6 +24,8 @@
 _HANG = 'hang'
 _RESET = 'reset'
 _REFUSE_NEW = 'refuse_new'
+_HOLD = 'hold'
+_EVENTS = list(range(1, 9))
 
 
 class _Cut:
@@ -32,6 +35,7 @@
         """Stand in front of the ports of a daemon."""
         self.mode = ''
         self.began = asyncio.Event()
+        self.ended = asyncio.Event()
         self.probes = 0
         dispatcher = node.gateway._dispatcher
         self.backend = dispatcher.backend
@@ -42,15 +46,19 @@
     def begin(self, mode: str) -> None:
         """Begin the cut."""
         self.mode = mode
+        self.ended.clear()
         self.began.set()
 
     def end(self) -> None:
         """End the cut."""
         self.mode = ''
         self.began.clear()
+        self.ended.set()
 
     async def async_check(self) -> None:
         """Fail as a new connection does during the cut."""
+        if self.mode == _HOLD:
+            await self.ended.wait()
         if self.mode == _HANG:
             await asyncio.sleep(0.15)
             raise BackendNotReachedError('cut') from TimeoutError()
@@ -78,6 +86,20 @@
         return getattr(self.cut.relay, name)
 
 
+class _Relay:
+    """Records what is sent to neighbors; without a port, none is reached."""
+
+    def __init__(self, port: Any) -> None:
+        self.port = port
+        self.request_ids: list[str] = []
+
+    async def async_open(self, request: Any) -> Any:
+        self.request_ids.append(request.request_id)
+        if self.port is None:
+            raise BackendNotReachedError('down')
+        return await self.port.async_open(request)
+
+
 class _CutAnswer:
     """An answer that hangs or breaks off when the cut begins."""
 
@@ -89,14 +111,18 @@
         return getattr(self._answer, name)
 
     async def async_read(self) -> bytes:
+        if self._cut.mode == _HANG:
+            await self._cut.ended.wait()
         reading = asyncio.create_task(self._answer.async_read())
         cutting = asyncio.create_task(self._cut.began.wait())
         try:
             await asyncio.wait(
                 (reading, cutting), return_when=asyncio.FIRST_COMPLETED
             )
-            if self._cut.mode == _HANG:
-                await asyncio.Event().wait()
+            if self._cut.mode == _HANG and not reading.done():
+                reading.cancel()
+                await self._cut.ended.wait()
+                return await self._answer.async_read()
             if self._cut.mode == _RESET:
                 raise BackendLostError('cut')
             return await reading
@@ -237,6 +263,56 @@
                 self.assertEqual(events, list(range(1, 9)))
                 await self._async_end_cut()
 
+    async def _async_stall(self, is_sent: Callable[[], bool]) -> Any:
+        """Cut a stream off, and wait until it is sent to a neighbor."""
+        for engine in self.fleet.engines.values():
+            engine.options = attrs.evolve(engine.options, token_s=0.1)
+        pending = asyncio.create_task(
+            self.callers[0].async_call('POST', '/llm/x', 'id-1', **_STREAM),
+        )
+        await async_until(lambda: self._runs('id-1'), 'it is run')
+        await asyncio.sleep(0.25)
+        self.cuts[0].begin(_HANG)
+        others = [
+            asyncio.create_task(self._async_get(0, f'id-other-{number}'))
+            for number in range(4)
+        ]
+        await async_until(is_sent, 'it is sent to a neighbor', 3)
+        for other in others:
+            other.cancel()
+        return pending
+
+    def _check_events(self, answer: Any) -> None:
+        lines = answer.body.decode().splitlines()
+        events = [int(line[4:]) for line in lines if line.startswith('id: ')]
+        self.assertEqual(events, _EVENTS)
+        self.assertEqual(self._runs('id-1'), 1)
+
+    async def test_stalled_engine_goes_on_before_a_neighbor(self) -> None:
+        """Guards against a stream that no neighbor takes over and is cut."""
+        for cut in self.cuts[1:]:
+            cut.begin(_HOLD)
+        relay = _Relay(self.daemons[0].node.relay_sender.port)
+        self.daemons[0].node.relay_sender.port = relay
+        pending = await self._async_stall(lambda: 'id-1' in relay.request_ids)
+        self.cuts[0].end()
+        async with asyncio.timeout(5):
+            self._check_events(await pending)
+        running = self.daemons[0].node.activity.local_loads()
+        self.assertFalse(running)
+
+    async def test_stalled_engine_goes_on_after_neighbors_fail(self) -> None:
+        """Guards against a stream that ends since no neighbor is reached."""
+        relay = _Relay(None)
+        self.daemons[0].node.relay_sender.port = relay
+        pending = await self._async_stall(
+            lambda: relay.request_ids.count('id-1') == 2
+        )
+        await asyncio.sleep(0.1)
+        self.cuts[0].end()
+        async with asyncio.timeout(5):
+            self._check_events(await pending)
+
     async def test_neighbor_s_other_answer_breaks_a_stream_off(self) -> None:
         """A stream goes on only with the rest of the same stream."""
         for number, case in enumerate(ANSWERS[:7:2]):
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -130,15 +130,48 @@
     ) -> None:
         """Answer a request or raise ``RequestRefusedError``."""
         self._begin(routed, service)
-        if not self._may_relay(routed):
-            try:
-                if await self._async_run_here(routed, route, service):
-                    return
-            except RequestRefusedError as error:
-                if not await self._async_is_partitioned(routed, error):
-                    raise
-        if self.relay is not None:
+        routed.drop_stalled = lambda: self._drop_stalled(routed)
+        try:
+            await self._async_run(routed, route, service)
+        finally:
+            self._drop_stalled(routed)
+
+    async def _async_run(
+        self,
+        routed: RoutedRequest,
+        route: Route,
+        service: ServiceProfile,
+    ) -> None:
+        resumed: Attempt | None = None
+        has_ended = False
+        while not has_ended:
+            if resumed is not None or not self._may_relay(routed):
+                has_ended = await self._async_run_here(
+                    routed, route, service, resumed
+                )
+            if not has_ended:
+                resumed = await self._async_relay(routed, route)
+                has_ended = resumed is None
+
+    async def _async_relay(
+        self, routed: RoutedRequest, route: Route
+    ) -> Attempt | None:
+        """Have a neighbor answer; return a stalled attempt that goes on.
+
+        A stalled attempt is continued if its engine goes on before a neighbor
+        has sent an event, or if no neighbor takes the request over.
+        """
+        if self.relay is None:
+            return None
+        try:
             await self.relay.async_run(routed, route)
+        except StalledAttemptResumedError as error:
+            return self._resume(routed, error.attempt)
+        except RequestRefusedError:
+            if not routed.stalled:
+                raise
+            return self._resume(routed, routed.stalled[0])
+        return None
 
     def _begin(self, routed: RoutedRequest, service: ServiceProfile) -> None:
         """Count a caller's request, and refuse a relayed one while partitioned.
@@ -187,23 +220,30 @@
         routed: RoutedRequest,
         route: Route,
         service: ServiceProfile,
+        resumed: Attempt | None,
     ) -> bool:
         """Try engines; return False once a neighbor has to be tried."""
-        hit = self.quarantine.admit(routed.suspects, self.clock.now_s())
-        if hit is not None:
-            raise _quarantined(hit)
         try:
-            return await self._async_try_engines(routed, route, service)
-        finally:
-            self._drop_stalled(routed)
+            if resumed is None:
+                hit = self.quarantine.admit(routed.suspects, self.clock.now_s())
+                if hit is not None:
+                    raise _quarantined(hit)
+                resumed = await self._async_next(routed, route, service, None)
+            return await self._async_try_engines(
+                routed, route, service, resumed
+            )
+        except RequestRefusedError as error:
+            if not await self._async_is_partitioned(routed, error):
+                raise
+        return False
 
     async def _async_try_engines(
         self,
         routed: RoutedRequest,
         route: Route,
         service: ServiceProfile,
+        attempt: Attempt,
     ) -> bool:
-        attempt = await self._async_next(routed, route, service, None)
         while True:
             try:
                 if await self._async_attempt(routed, attempt):
@@ -261,7 +301,8 @@
                 ),
                 suspects=routed.suspects,
             ),
-            had_free_slot=self._has_free_slot(service, engine),
+            had_free_slot=self.activity.load(engine_key(engine))
+            < slots(service, engine),
             permit=self.selector.limiter.take(process_hash(engine), now_s),
         )
 
@@ -280,12 +321,6 @@
         )
         return attempt
 
-    def _keep_stalled(self, routed: RoutedRequest, attempt: Attempt) -> None:
-        """Keep a stalled attempt until another engine has taken over."""
-        routed.stalled.append(attempt)
-        attempt.run.can_retry_elsewhere = _cannot_retry
-        attempt.run.cancel = lambda: self._drop_stalled(routed)
-
     def _drop_stalled(self, routed: RoutedRequest) -> None:
         """Give all stalled attempts up."""
         while routed.stalled:
@@ -362,21 +397,20 @@
     def _record_cancelled(
         self, routed: RoutedRequest, attempt: Attempt, error: TimeoutError
     ) -> None:
-        """Record an attempt that was cancelled, and keep a stalled one."""
+        """Record an attempt that was cancelled, and keep a stalled one.
+
+        It is kept until another engine has taken over.
+        """
         run = attempt.run
         if not run.cancel_reason:
             raise error
         routed.may_have_run = True
         if run.stalled:
-            self._keep_stalled(routed, attempt)
+            routed.stalled.append(attempt)
+            run.can_retry_elsewhere = _cannot_retry
+            run.cancel = routed.drop_stalled
         self.outcomes.record_failure(routed, attempt, run.cancel_reason, error)
 
-    def _has_free_slot(
-        self, service: ServiceProfile, engine: EngineRecord
-    ) -> bool:
-        load = self.activity.load(engine_key(engine))
-        return load < slots(service, engine)
-
     async def _async_exchange(
         self,
         routed: RoutedRequest,
--- a/yuccavalve/gateway/models.py
+++ b/yuccavalve/gateway/models.py
@@ -128,6 +128,10 @@
         return cls(status, media_type)
 
 
+def _do_nothing() -> None:
+    """Do nothing; no attempt has stalled."""
+
+
 @attrs.define(eq=False)
 class RoutedRequest:
     """State of one request from its arrival to its final answer.
@@ -166,6 +170,8 @@
     stalled
         Attempts at silent engines, of which one is continued if no other
         engine takes the request over.
+    drop_stalled
+        Gives the attempts at silent engines up.
     stop
         Planned stop of this daemon.
     """
@@ -201,6 +207,7 @@
     has_unused_retry: bool = False
     passed_result: ResultCode = ResultCode.ANSWERED
     stalled: list[Attempt] = attrs.field(factory=list)
+    drop_stalled: Callable[[], None] = _do_nothing
     stop: GatewayStop = attrs.field(factory=GatewayStop)
 
     @property
@@ -257,4 +264,11 @@
         """Return whether another daemon reaches engines."""
 
     async def async_run(self, routed: RoutedRequest, route: Route) -> None:
-        """Answer a request or raise ``RequestRefusedError``."""
+        """Answer a request or raise ``RequestRefusedError``.
+
+        Raises
+        ------
+        StalledAttemptResumedError
+            When a stalled engine goes on before another daemon has sent an
+            event.
+        """
--- a/yuccavalve/relay/sender.py
+++ b/yuccavalve/relay/sender.py
@@ -2,7 +2,8 @@
 
 The rules are those for engines: a request is reported as not run only if no
 daemon can have read it or each that read it states so, and a stream that
-breaks is resumed after its last complete event.
+breaks is resumed after its last complete event. Attempts at silent engines are
+kept until a daemon has sent an event, and go on if their engine does so first.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
     BackendNotReachedError,
     RequestRefusedError,
 )
+from yuccavalve.gateway.attempt import async_unless_resumed
 from yuccavalve.gateway.budget import ServiceRetryBudgets
 from yuccavalve.gateway.const import (
     LARGE_PART_BYTES,
@@ -233,8 +235,11 @@
         has_unused_retry = routed.has_unused_retry
         routed.has_unused_retry = False
         try:
-            answer = await self.port.async_open(
-                _request(routed, neighbor, self.clock.now_s())
+            answer = await async_unless_resumed(
+                routed.stalled,
+                self.port.async_open(
+                    _request(routed, neighbor, self.clock.now_s())
+                ),
             )
         except BackendNotReachedError:
             routed.sent_count -= 1
@@ -256,7 +261,10 @@
         if relaying.route.kind is RequestKind.STREAM and answer.status == _OK:
             await self._async_pass_events(routed, answer)
         else:
-            parts, is_whole = await answer.async_read_held(MAX_ANSWER_BYTES)
+            parts, is_whole = await async_unless_resumed(
+                routed.stalled, answer.async_read_held(MAX_ANSWER_BYTES)
+            )
+            routed.drop_stalled()
             await async_pass_body(routed, answer, parts, is_whole=is_whole)
         return 'answered'
 
@@ -275,7 +283,9 @@
         routed.passed_result = code
         if not isinstance(outcome_from_code(code), NotRun):
             return ''
-        body = await answer.async_read_all(MAX_ANSWER_BYTES)
+        body = await async_unless_resumed(
+            routed.stalled, answer.async_read_all(MAX_ANSWER_BYTES)
+        )
         routed.sent_count -= 1
         relaying.refusal = _refusal(answer, body)
         if code in _OWN_REFUSALS:
@@ -292,22 +302,25 @@
         """Pass whole events on until the body ends."""
         continues = routed.response_began
         last_event_at_s = routed.last_event_at_s
-        if not continues:
-            await async_send_start(routed, answer.status, answer.headers)
         splitter = EventSplitter()
         try:
             while True:
-                chunk = await answer.async_read()
+                chunk = await async_unless_resumed(
+                    routed.stalled, answer.async_read()
+                )
                 if not chunk:
                     break
                 whole = splitter.split(chunk)
                 if whole:
+                    routed.drop_stalled()
+                    await _async_begin(routed, answer)
                     await self._async_pass_part(routed, whole)
         finally:
             routed.partial_event_bytes = splitter.partial_bytes
         splitter.check_complete()
         if continues and routed.last_event_at_s == last_event_at_s:
             raise BackendLostError('no event continues the stream')
+        await _async_begin(routed, answer)
         await async_send_end(routed, splitter.rest)
 
     async def _async_pass_part(
@@ -383,6 +396,12 @@
     return _Refusal(answer.status, (*answer.headers, length), body)
 
 
+async def _async_begin(routed: RoutedRequest, answer: RelayAnswer) -> None:
+    """Send the head of a stream unless the caller has one."""
+    if not routed.response_began:
+        await async_send_start(routed, answer.status, answer.headers)
+
+
 async def _async_pass(routed: RoutedRequest, refusal: _Refusal) -> None:
     """Pass a whole answer on."""
     await async_send_start(routed, refusal.status, refusal.headers)
