Watch stalled attempts while their request waits in the admission queue

The caller of a stream whose engine was silent, and which waited in the admission queue for another one, got nothing of what its engine sent meanwhile until the request left the queue.

Cause: stalled attempts were watched only from the next attempt on.

The wait now ends if a stalled engine goes on; the request leaves the queue (admission_rejected, reason stalled_resumed) and is continued there.

tests/platform/test_stalled_attempts.py: the stream of a silent engine that goes on during the wait is complete within 5 s; before, it was not.

--- a/tests/platform/test_stalled_attempts.py
+++ b/tests/platform/test_stalled_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest import mock
 
 import attrs
 
@@ -15,7 +16,9 @@
     async_until,
 )
 from yuccavalve.exceptions import BackendLostError
+from yuccavalve.gateway.waiting import AdmissionGate
 from yuccavalve.ports.backend import BodyFraming
+from yuccavalve.settings import AdmissionSettings
 
 _EVENTS = 8
 _STREAM = {'model': builders.MODEL, 'token_counts': '100,80'}
@@ -81,11 +84,18 @@
             for number in range(6)
         )
 
-    async def _async_start(self, max_attempts: int) -> None:
+    async def _async_start(
+        self, max_attempts: int, *, queue: bool = False
+    ) -> None:
         document = builders.configuration()
         document['routes'][0]['max_attempts'] = max_attempts
         await self.fleet.async_configure(document)
-        self.daemon = DaemonRun(builders.settings(self.fleet.store_address))
+        self.daemon = DaemonRun(
+            attrs.evolve(
+                builders.settings(self.fleet.store_address),
+                admission=AdmissionSettings(queue=queue),
+            )
+        )
         await self.daemon.async_start()
         await async_until(
             lambda: (
@@ -252,6 +262,30 @@
         self.assertEqual(self._running(), 0)
         self.assertFalse(self.daemon.node.activity.local_loads())
 
+    async def test_stalled_engine_goes_on_while_the_request_waits(
+        self,
+    ) -> None:
+        """Guards against a wait in the queue for an answer that goes on."""
+        await self._async_start(2, queue=True)
+        self.script.gates[0].set()
+        for engine in self.fleet.engines.values():
+            engine.options = attrs.evolve(engine.options, token_s=0.1)
+        call = asyncio.create_task(self._async_call())
+        await asyncio.sleep(0.35)
+        with (
+            mock.patch.object(AdmissionGate, 'try_at_once', return_value=None),
+            mock.patch.object(AdmissionGate, 'enter') as enter,
+            mock.patch.object(AdmissionGate, 'leave') as leave,
+        ):
+            for engine in self.fleet.engines.values():
+                engine.silent = True
+            await async_until(lambda: enter.called, 'the request waits')
+            self._let_go_on()
+            async with asyncio.timeout(5):
+                self._check(await call)
+        leave.assert_called_once_with(enter.return_value, 'stalled_resumed')
+        self.assertFalse(self.daemon.node.activity.local_loads())
+
     async def test_first_engine_goes_on_after_two_failures(self) -> None:
         answer = await self._async_stall(3)
         self.script.outcomes[1] = _Refusal()
--- a/tests/support/admission_model.py
+++ b/tests/support/admission_model.py
@@ -237,7 +237,7 @@
 
         request = daemon.gate.enter(routed, self.service, resolve)
         if call.left:
-            self.after(0.1, lambda: daemon.gate.leave(request))
+            self.after(0.1, lambda: daemon.gate.leave(request, 'caller_left'))
 
     def _refuse(self, call: Call, error: Any, at_s: float) -> None:
         call.codes.append(error.code)
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -267,6 +267,8 @@
         """Return the next attempt, or the stalled one if there is none."""
         try:
             return await self._async_next(routed, route, service, previous)
+        except StalledAttemptResumedError as error:
+            return self._resume(routed, error.attempt)
         except RequestRefusedError:
             if not routed.stalled:
                 raise
--- a/yuccavalve/gateway/waiting.py
+++ b/yuccavalve/gateway/waiting.py
@@ -36,8 +36,12 @@
     TRY_AGAIN_S,
 )
 from yuccavalve.clock import Clock
-from yuccavalve.exceptions import RequestRefusedError
+from yuccavalve.exceptions import (
+    RequestRefusedError,
+    StalledAttemptResumedError,
+)
 from yuccavalve.fleet.activity import EngineRun, engine_key, process_hash
+from yuccavalve.gateway.attempt import async_unless_resumed
 from yuccavalve.gateway.const import RETRY_AFTER_NOT_READY_S
 from yuccavalve.gateway.forecasts import PoolForecasts
 from yuccavalve.gateway.leaving import leaving_error
@@ -178,6 +182,8 @@
         ------
         RequestRefusedError
             If no engine is expected to take the request in time.
+        StalledAttemptResumedError
+            If a stalled engine of the request goes on during the wait.
         """
         engine = self.try_at_once(routed, service)
         if engine is not None:
@@ -185,9 +191,13 @@
         chosen: _Chosen = asyncio.get_running_loop().create_future()
         request = self.enter(routed, service, partial(_resolve, chosen))
         try:
-            outcome = await chosen
+            outcome = await async_unless_resumed(routed.stalled, chosen)
         except asyncio.CancelledError:
-            self.leave(request)
+            self.leave(request, 'caller_left')
+            self.wake()
+            raise
+        except StalledAttemptResumedError:
+            self.leave(request, 'stalled_resumed')
             self.wake()
             raise
         finally:
@@ -275,10 +285,10 @@
         self._schedule_check()
         return request
 
-    def leave(self, request: WaitingRequest) -> None:
-        """Remove a request whose caller has left."""
+    def leave(self, request: WaitingRequest, reason: str) -> None:
+        """Remove a request that no longer needs an engine."""
         if self.queue.remove(request):
-            self.rejected['caller_left'] += 1
+            self.rejected[reason] += 1
 
     def wake(self) -> None:
         """Check soon whether waiting requests can be released."""
