Keep relayed requests that no other daemon could take over

Callers of relayed requests that run once only, or had no retry or daemon left, were cut 2 s after the last update of the neighbor that ran them, though it could still answer. Streams that brought events were cut too.

Cause: every exchange with a neighbor without updates was cancelled.

It is now cancelled only if it has brought no event for 0.4 s and another daemon may and could take the request. Otherwise the connection or the deadline ends it.

tests/relay/test_sender.py checks the conditions one by one: six of eight cases failed before.

Left: the exchange is still cancelled before the other daemon has sent an event.

--- a/tests/relay/test_sender.py
+++ b/tests/relay/test_sender.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from random import Random
+from typing import Any
 from unittest import mock
 
 from yuccavalve.gateway.models import InboundRequest, RoutedRequest
@@ -49,3 +50,48 @@
         with self.assertRaises(asyncio.CancelledError):
             await sender._async_pass_events(routed, answer)
         self.assertEqual(routed.last_event, '1')
+
+    async def test_exchange_is_kept_unless_another_daemon_can_take_over(
+        self,
+    ) -> None:
+        """Guards against answers that are cut since updates are missing."""
+        cases = (
+            (True, {}, {}, True),
+            (False, {}, {}, False),
+            (True, {'sent_count': 2}, {}, False),
+            (True, {'last_event_at_s': 9.8}, {}, False),
+            (True, {'last_event_at_s': 9.5}, {}, True),
+            (True, {'response_began': True}, {}, False),
+            (True, {}, {'remaining': 0.5}, False),
+            (True, {}, {'others': ()}, False),
+        )
+        for repeatable, state, around, is_cancelled in cases:
+            with self.subTest(repeatable, state=state, around=around):
+                cancelled = self._cancel_gone(repeatable, state, **around)
+                self.assertEqual(cancelled, is_cancelled)
+
+    def _cancel_gone(
+        self,
+        repeatable: bool,
+        state: dict[str, Any],
+        remaining: float = 1,
+        others: tuple[str, ...] = ('other',),
+    ) -> bool:
+        sender = _sender(mock.Mock())
+        sender.clock.now_s.return_value = 10
+        sender.budgets.remaining.return_value = remaining
+        sender.chooser.roster.is_live.return_value = False
+        members = [mock.Mock(member=each) for each in ('gone', *others)]
+        sender.chooser.neighbors.return_value = members
+        routed = _routed(mock.AsyncMock())
+        routed.sent_count = 1
+        for name, value in state.items():
+            setattr(routed, name, value)
+        route = mock.Mock(repeatable=repeatable, max_attempts=2)
+        relaying = _Relaying(
+            routed, route, {'gone'}, members[0], cancel=mock.Mock()
+        )
+        sender._relayings.add(relaying)
+        sender.cancel_gone()
+        self.assertEqual(relaying.gone, relaying.cancel.called)
+        return relaying.gone
--- a/yuccavalve/relay/sender.py
+++ b/yuccavalve/relay/sender.py
@@ -44,6 +44,7 @@
     MAX_NEIGHBORS,
     RETRY_AFTER_FULL_S,
     RETRY_AFTER_UNREACHABLE_S,
+    SILENT_S,
 )
 from yuccavalve.relay.neighbors import NeighborChooser
 from yuccavalve.results import NotRun, ResultCode, outcome_from_code
@@ -136,16 +137,39 @@
             self.bounds.leave(size_bytes)
 
     def cancel_gone(self) -> None:
-        """Cancel exchanges with daemons that are no longer live."""
+        """Cancel exchanges with lost daemons if another one can take over.
+
+        A daemon whose updates are missing may still answer: an exchange that
+        brings events, or that no other daemon could continue, is kept.
+        """
         now_s = self.clock.now_s()
         for relaying in tuple(self._relayings):
             neighbor = relaying.neighbor
             if neighbor is None or relaying.gone:
                 continue
-            if not self.chooser.roster.is_live(neighbor.member, now_s):
+            is_live = self.chooser.roster.is_live(neighbor.member, now_s)
+            if not is_live and self._can_take_over(relaying, now_s):
                 relaying.gone = True
                 relaying.cancel()
 
+    def _can_take_over(self, relaying: _Relaying, now_s: float) -> bool:
+        """Return whether another daemon may and could continue a request."""
+        routed = relaying.routed
+        if routed.is_partly_answered or not relaying.route.repeatable:
+            return False
+        if now_s - routed.last_event_at_s < SILENT_S:
+            return False
+        if routed.sent_count >= relaying.route.max_attempts:
+            return False
+        if len(relaying.tried) >= MAX_NEIGHBORS:
+            return False
+        if self.budgets.remaining(routed.service, now_s) < 1:
+            return False
+        return any(
+            each.member not in relaying.tried
+            for each in self.chooser.neighbors(now_s)
+        )
+
     async def _async_try_neighbors(self, relaying: _Relaying) -> None:
         routed = relaying.routed
         while len(relaying.tried) < MAX_NEIGHBORS:
