--- a/tests/platform/standin/__init__.py
+++ b/tests/platform/standin/__init__.py
@@ -5,6 +5,7 @@
     EngineOptions,
     EngineStandin,
     Framing,
+    ScriptedAnswer,
 )
 from tests.platform.standin.fleet import FleetStandin
 from tests.platform.standin.store import StoreFaults, StoreStandin
@@ -15,6 +16,7 @@
     'EngineStandin',
     'FleetStandin',
     'Framing',
+    'ScriptedAnswer',
     'StoreFaults',
     'StoreStandin',
 )
--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -14,7 +14,13 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-__all__ = ('CrashingRequest', 'EngineOptions', 'EngineStandin', 'Framing')
+__all__ = (
+    'CrashingRequest',
+    'EngineOptions',
+    'EngineStandin',
+    'Framing',
+    'ScriptedAnswer',
+)
 
 _MS = 1000
 _OK = 200
@@ -28,6 +34,7 @@
 _REPEAT_S = 0.1
 _POLL_S = 0.01
 _TRICKLE_INTERVAL_S = 0.05
+_PART_PAUSE_S = 0.02
 _NOT_RUN = {'Not-Executed': '1'}
 
 
@@ -93,13 +100,42 @@
         await asyncio.sleep(_LOST_ANSWER_S)
 
 
+@attrs.frozen
+class ScriptedAnswer:
+    """Bytes of an answer, after which the connection ends.
+
+    Attributes
+    ----------
+    parts
+        Written one after another with a pause in between; may be empty.
+    resets
+        Whether the connection is reset instead of closed in order.
+    """
+
+    parts: tuple[bytes, ...]
+    resets: bool = False
+
+
 class _ScriptedResponse(Response):
-    """Given bytes, after which the connection is closed."""
+    """Given bytes, after which the connection ends."""
+
+    def __init__(self, scripted: bytes | ScriptedAnswer) -> None:
+        """Store the answer."""
+        super().__init__()
+        if isinstance(scripted, bytes):
+            scripted = ScriptedAnswer((scripted,))
+        self._scripted = scripted
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Write to the connection itself."""
         transport = scope['standin.transport']
-        transport.write(self.body)
+        for number, part in enumerate(self._scripted.parts):
+            if number:
+                await asyncio.sleep(_PART_PAUSE_S)
+            transport.write(part)
+        if self._scripted.resets:
+            await asyncio.sleep(_POLL_S)
+            _reset(transport)
         transport.close()
 
 
@@ -239,7 +275,7 @@
         Answers carry no request id, as if made for another request.
     answer_bytes
         Returns the bytes of the answer to a request with given header fields
-        that has run; empty for the usual answer.
+        that has run, or how they are sent; empty for the usual answer.
     cold_until_s
         Monotonic time until which its record says that it is cold.
     requests_s
@@ -290,7 +326,9 @@
         self.arrivals_s: list[float] = []
         self.retry_after = ''
         self.omits_request_id = False
-        self.answer_bytes: Callable[[Mapping[str, str]], bytes] = _usual_answer
+        self.answer_bytes: Callable[
+            [Mapping[str, str]], bytes | ScriptedAnswer
+        ] = _usual_answer
         self.running = 0
         self.runs: list[str] = []
         self.all_runs: list[str] = []
--- a/tests/platform/test_partitioned_daemons.py
+++ b/tests/platform/test_partitioned_daemons.py
@@ -19,13 +19,15 @@
 from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
 from yuccavalve.relay.const import VERDICT_MAX_WAIT_S
 
+__all__ = ('EngineCut',)
+
 _STREAM = {'model': builders.MODEL, 'token_counts': '100,80'}
 _HANG = 'hang'
 _RESET = 'reset'
 _REFUSE_NEW = 'refuse_new'
 
 
-class _Cut:
+class EngineCut:
     """Cuts a daemon off from engines, in front of its ports."""
 
     def __init__(self, node: Any) -> None:
@@ -66,7 +68,7 @@
 class _CutProbes:
     """Probes that are cut off, too."""
 
-    def __init__(self, cut: _Cut) -> None:
+    def __init__(self, cut: EngineCut) -> None:
         self.cut = cut
 
     async def async_probe(self, address: str, timeout_s: float) -> None:
@@ -81,7 +83,7 @@
 class _CutAnswer:
     """An answer that hangs or breaks off when the cut begins."""
 
-    def __init__(self, cut: _Cut, answer: Any) -> None:
+    def __init__(self, cut: EngineCut, answer: Any) -> None:
         self._cut = cut
         self._answer = answer
 
@@ -116,7 +118,7 @@
         await self.fleet.async_start(builders.engine_options(count=6))
         await self.fleet.async_configure(builders.configuration())
         self.daemons: list[DaemonRun] = []
-        self.cuts: list[_Cut] = []
+        self.cuts: list[EngineCut] = []
         self.callers: list[Caller] = []
         for number in range(3):
             settings = builders.settings(
@@ -126,7 +128,7 @@
             daemon = DaemonRun(
                 attrs.evolve(settings, listen=listen), seed=number
             )
-            self.cuts.append(_Cut(daemon.node))
+            self.cuts.append(EngineCut(daemon.node))
             await daemon.async_start()
             self.daemons.append(daemon)
             self.callers.append(Caller(daemon.caller_address, builders.KEY))
