Begin a term above every epoch that engines have shown

Cause: the epochs of a term are the version of the term's row times a million. When versions go back they are below those that engines have seen, and neither records nor refusals raised them.

A planner now takes no step while engines are above it: by the epoch in a record or a report, or by a 412 although no later order had overtaken the refused one. A step would take such a refusal for a fence that stops late orders. The daemon renews its lease with a new term above the epoch, and the term's row says what it has to be above, so that the terms of later planners and their fences are above a raised one too. The row is a condition of the takeover, since the lease's row may come and go between the read and the write. A refusal shows no epoch, so the term grows by an eighth with each; an engine that refuses ten in a row is no longer heeded. Epochs above 4e18 are not heeded either, as none would be left above them.

Late orders of a lost term whose epochs no engine has shown are not fenced.

Tests: of HigherEpochTest on the fleet model three fail if terms are not raised (no replica is formed again), among them one with late orders of the lost term. The lease and the duty have tests of their own. In the test of a failing planner the stand-in lease gives its term by term() instead of by a condition; its checks are unchanged.

--- a/tests/daemon/test_formation_duty.py
+++ b/tests/daemon/test_formation_duty.py
@@ -6,11 +6,16 @@
 from random import Random
 from unittest import mock
 
+import attrs
+
 from tests.platform import builders
+from tests.support.queue_model import head_record
 from yuccavalve.daemon.formation_duty import FormationDuty
 from yuccavalve.daemon.gateway_node import build_gateway_node
 from yuccavalve.formation import FormationInput, FormationPlanner
-from yuccavalve.ports import Condition
+from yuccavalve.formation.const import EPOCHS_PER_TERM
+from yuccavalve.membership import Lease, LeaseStep
+from yuccavalve.ports.fleet import Membership, MemberState
 from yuccavalve_platform.daemon import build_ports
 
 
@@ -27,7 +32,7 @@
         node.adopt_routes(json.dumps(document).encode(), 'test')
         node.view.version = 1
         lease = mock.Mock()
-        lease.lease.term_condition = Condition('lease/planner', 7)
+        lease.term.return_value = 7
         duty = FormationDuty(node, lease)
         planned = []
 
@@ -44,3 +49,43 @@
             duty._step()
         self.assertEqual(planned, ['llm', 'second'])
         self.assertIn('planner_step_failed service=llm', logs.output[0])
+
+
+class HigherEpochTest(unittest.TestCase):
+    """An engine shows an epoch above the planner's term."""
+
+    def test_term_is_raised_before_the_next_step(self) -> None:
+        """Engines refused all orders of the lower term."""
+        settings = builders.settings('127.0.0.1:1')
+        node = build_gateway_node(settings, build_ports(settings), Random(1))
+        node.adopt_routes(json.dumps(builders.configuration()).encode(), 'test')
+        node.view.version = 1
+        lease = Lease('planner', 'a')
+        lease.record_applied(node.clock.now_s(), LeaseStep.ACQUIRE, 7)
+        loop = mock.Mock(lease=lease)
+        loop.term.side_effect = lambda: lease.term
+        duty = FormationDuty(node, loop)
+        epoch = 60 * EPOCHS_PER_TERM + 3
+        engine = attrs.evolve(
+            head_record(1),
+            service='llm',
+            fabric_domain='zone-a-d0',
+            membership=Membership('r60000003', epoch, 0, MemberState.READY),
+        )
+        terms = []
+        with (
+            mock.patch.object(type(node.view), 'records', lambda _: [engine]),
+            mock.patch.object(
+                FormationPlanner,
+                'step',
+                lambda planner, *_: terms.append(planner._term) or [],
+            ),
+        ):
+            duty._step()
+            self.assertEqual(terms, [])
+            now_s = node.clock.now_s()
+            step = lease.step(now_s, 0)
+            self.assertIs(step, LeaseStep.ACQUIRE)
+            lease.record_applied(now_s, step, 8)
+            duty._step()
+        self.assertEqual(terms, [61])
--- a/tests/formation/test_planner.py
+++ b/tests/formation/test_planner.py
@@ -13,13 +13,19 @@
     service_profile,
 )
 from yuccavalve.fleet.const import STALL_BUSY_S
-from yuccavalve.formation import FormationPlanner, ReplicaHealth
-from yuccavalve.formation.const import ENGINE_SILENCE_S
+from yuccavalve.formation import FormationPlanner, OrderTask, ReplicaHealth
+from yuccavalve.formation.const import (
+    ENGINE_SILENCE_S,
+    EPOCHS_PER_TERM,
+    REFUSED_TERMS,
+)
 from yuccavalve.ports.fleet import (
     EngineRecord,
     GroupOrder,
     GroupOrderKind,
+    Membership,
     MemberState,
+    OrderOutcome,
 )
 
 _DRAIN_S = 2.0
@@ -311,6 +317,124 @@
         self.assertEqual(model.violations, [])
 
 
+class HigherEpochTest(unittest.TestCase):
+    """A planner whose term is below the one that formed the replicas.
+
+    Its engines refused all orders to join, and a model that lost its replica
+    was never served again.
+    """
+
+    def setUp(self) -> None:
+        """Form a replica of three of five engines in term 60."""
+        profile = service_profile((3,), (1,))
+        self.model = FleetModel(Random(1), profile, raises_terms=True)
+        self.model.add('d0', 5)
+        self.first = _planner(60)
+        self.model.run(12, self.first)
+        self.replica = self.model.open_heads('m3')[0].joined
+
+    def tearDown(self) -> None:
+        """Check that no invariant was violated."""
+        self.assertEqual(self.model.violations, [])
+
+    def _lose_member(self, planner: FormationPlanner) -> None:
+        self.model.kill(self.replica.members[2])
+        self.model.run(8, planner)
+
+    def _assert_formed_above(self, epoch: int) -> None:
+        (head,) = self.model.open_heads('m3')
+        self.assertGreater(head.joined.epoch, epoch)
+
+    def test_epochs_in_records_are_exceeded(self) -> None:
+        highest = max(each.epoch_seen for each in self.model.engines.values())
+        self._lose_member(_planner(45))
+        self._assert_formed_above(highest)
+
+    def test_term_that_is_given_out_again_is_exceeded(self) -> None:
+        """An epoch that is used twice could name two replicas."""
+        self._lose_member(_planner(60))
+        self._assert_formed_above(61 * EPOCHS_PER_TERM)
+
+    def test_epochs_that_only_refusals_show_are_exceeded(self) -> None:
+        highest = 90 * EPOCHS_PER_TERM
+        for engine in self.model.engines.values():
+            engine.epoch_seen = highest
+        self._lose_member(_planner(45))
+        self._assert_formed_above(highest)
+
+    def test_only_lower_terms_are_raised(self) -> None:
+        """A raised term makes the planner forget what it was about to do."""
+        facts = self.model.facts()
+        self.assertEqual(_planner(45).epochs.higher_term(facts), 60)
+        self.assertIsNone(self.first.epochs.higher_term(facts))
+        self.assertIsNone(_planner(61).epochs.higher_term(facts))
+
+    def test_late_orders_are_fenced_below_their_epoch(self) -> None:
+        """Orders of the first planner come late after the head has left."""
+        head = self.model.engines[self.replica.members[0]]
+        orders = [
+            GroupOrder(
+                kind,
+                self.replica.replica,
+                self.replica.epoch,
+                'm3',
+                self.replica.members,
+            )
+            for kind in (GroupOrderKind.JOIN, GroupOrderKind.OPEN)
+        ]
+        self.model.held = [(head, order) for order in orders]
+        successor = _planner(45)
+        self.model.run(1, successor)
+        self.model.kill(self.replica.members[2])
+        while head.joined and head.joined.epoch == self.replica.epoch:
+            self.model.run(0.1, successor)
+        self.model.release(GroupOrderKind.JOIN)
+        self.model.run(0.3, successor)
+        self.model.release(GroupOrderKind.OPEN)
+        self.model.run(4, successor)
+        self._assert_formed_above(self.replica.epoch)
+
+    def test_overtaken_order_raises_no_term(self) -> None:
+        engine = next(iter(self.model.facts().engines.values()))
+        self.first.start_term(61)
+        self.first.epochs.record_orders(
+            OrderTask(engine, _join(epoch)) for epoch in (7, 8)
+        )
+        task = OrderTask(engine, _join(7))
+        self.first.record(task, OrderOutcome.FENCED)
+        self.assertIsNone(self.first.epochs.higher_term(self.model.facts()))
+        task = OrderTask(engine, _join(8))
+        self.first.record(task, OrderOutcome.FENCED)
+        self.assertEqual(self.first.epochs.higher_term(self.model.facts()), 68)
+
+    def test_engine_that_refuses_all_terms_is_not_heeded(self) -> None:
+        """Each raised term forgets what the planner was about to do."""
+        engine = next(iter(self.model.facts().engines.values()))
+        raised = 0
+        for term in range(100, 150):
+            self.first.start_term(term)
+            task = OrderTask(engine, attrs.evolve(_join(1), term=term))
+            self.first.record(task, OrderOutcome.FENCED)
+            raised += (
+                self.first.epochs.higher_term(self.model.facts()) is not None
+            )
+        self.assertEqual(raised, REFUSED_TERMS)
+
+    def test_epoch_without_room_above_it_is_not_heeded(self) -> None:
+        """Only an entry of another writer can show such an epoch."""
+        facts = self.model.facts()
+        (name, engine), *_ = facts.engines.items()
+        odd = attrs.evolve(
+            engine, membership=Membership('r1', 2**64 - 1, 0, MemberState.READY)
+        )
+        facts = attrs.evolve(facts, engines={**facts.engines, name: odd})
+        self.assertIsNone(self.first.epochs.higher_term(facts))
+
+
+def _join(epoch: int) -> GroupOrder:
+    return GroupOrder(GroupOrderKind.JOIN, f'r{epoch}', epoch, 'm3', term=61)
+
+
 class _CountingEngines(dict[str, EngineRecord]):
     """Engines that count how often all of them are visited."""
 
--- a/tests/membership/test_duties.py
+++ b/tests/membership/test_duties.py
@@ -13,7 +13,7 @@
     Roster,
 )
 from yuccavalve.membership.electorate import next_electorate
-from yuccavalve.ports import Row
+from yuccavalve.ports import Condition, Row
 
 
 def _rows(holder: str, version: int) -> dict[str, Row]:
@@ -54,6 +54,70 @@
         self.assertFalse(lease.is_held(101))
 
 
+class TermTest(unittest.TestCase):
+    """Terms rise although a store that came back lost the last versions."""
+
+    def _acquire(self, lease: Lease, version: int) -> Row:
+        """Begin a term and return its row."""
+        transaction = lease.transaction(LeaseStep.ACQUIRE)
+        lease.record_applied(100, LeaseStep.ACQUIRE, version)
+        (fields,) = [
+            write.fields
+            for write in transaction.writes
+            if write.key == lease.term_key
+        ]
+        return Row(lease.term_key, version, fields)
+
+    def test_term_is_the_version_of_its_row(self) -> None:
+        lease = Lease('planner', 'a')
+        self._acquire(lease, 9)
+        self.assertEqual(lease.term, 9)
+
+    def test_holder_begins_a_term_above_a_higher_one(self) -> None:
+        lease = Lease('planner', 'a')
+        self._acquire(lease, 9)
+        self.assertIs(lease.step(100, 0), LeaseStep.WAIT)
+        self.assertTrue(lease.raise_above(60))
+        self.assertFalse(lease.raise_above(60))
+        self.assertIs(lease.step(100, 0), LeaseStep.ACQUIRE)
+        self._acquire(lease, 10)
+        self.assertEqual(lease.term, 61)
+        self.assertIs(lease.step(100, 0), LeaseStep.WAIT)
+
+    def test_later_terms_are_above_a_raised_one(self) -> None:
+        """Late orders of a raised term would not be fenced otherwise."""
+        first = Lease('planner', 'a')
+        self._acquire(first, 9)
+        first.raise_above(60)
+        row = self._acquire(first, 10)
+        second = Lease('planner', 'b')
+        second.observe({row.key: row}, 100)
+        self._acquire(second, 11)
+        self.assertEqual(second.term, 62)
+
+    def test_term_is_conditional_on_the_last_one(self) -> None:
+        """The lease's row may have come and gone since it was read."""
+        lease = Lease('planner', 'b')
+        lease.observe({'term/planner': _rows('a', 1)['term/planner']}, 100)
+        transaction = lease.transaction(LeaseStep.ACQUIRE)
+        self.assertIn(Condition('term/planner', 7), transaction.conditions)
+
+    def test_row_that_falls_back_raises_the_next_term(self) -> None:
+        lease = Lease('planner', 'a')
+        self._acquire(lease, 60)
+        lease.observe(_rows('a', 5), 100)
+        self.assertIs(lease.step(100, 0), LeaseStep.ACQUIRE)
+        self._acquire(lease, 8)
+        self.assertEqual(lease.term, 61)
+
+    def test_row_of_another_form_is_taken_by_its_version(self) -> None:
+        for above in ('60', True, -1, 2**64, None, 1.5, [60]):
+            lease = Lease('planner', 'b')
+            row = Row('term/planner', 7, {'above': above})
+            lease.observe({row.key: row}, 100)
+            self.assertEqual(lease.term, 7, above)
+
+
 class ElectorateTest(unittest.TestCase):
     """Only one change of the electorate is in progress at a time."""
 
--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -171,6 +171,9 @@
         ``release``.
     held
         Orders that are held, with their engines.
+    raises_terms
+        Whether a planner that meets a higher epoch begins a new term above it.
+        The lease allows it for one planner at a time.
     """
 
     random: Random
@@ -193,6 +196,7 @@
     detection_s: float = 1
     holds: Callable[[ModelEngine, GroupOrder], bool] = lambda *_: False
     held: list[tuple[ModelEngine, GroupOrder]] = attrs.field(factory=list)
+    raises_terms: bool = False
     _passed_orders: list[tuple[float, FormationPlanner, OrderTask]] = (
         attrs.field(factory=list)
     )
@@ -222,12 +226,22 @@
             self._record_silence()
             self._answer_passed_orders()
             for planner in planners:
-                for task in planner.step(self.facts(), self.now_s):
-                    self._order(planner, task)
+                self._step(planner)
                 for head in planner.take_ended_heads():
                     self.engines[head].last_record = None
             self._check_invariants()
 
+    def _step(self, planner: FormationPlanner) -> None:
+        facts = self.facts()
+        higher = None
+        if self.raises_terms:
+            higher = planner.epochs.higher_term(facts)
+        if higher is None:
+            for task in planner.step(facts, self.now_s):
+                self._order(planner, task)
+        else:
+            planner.start_term(higher + 1)
+
     def release(self, kind: GroupOrderKind) -> None:
         """Carry out the first order of a kind that is held."""
         for held in self.held:
--- a/yuccavalve/daemon/engine_prober.py
+++ b/yuccavalve/daemon/engine_prober.py
@@ -19,6 +19,7 @@
     SLOW_FACTOR,
     SLOW_REPORT_MAX_AGE_S,
 )
+from yuccavalve.formation.epochs import EpochWatch
 from yuccavalve.ports.fleet import (
     EngineControlPort,
     EngineRecord,
@@ -99,6 +100,8 @@
     is_doubtful_reach
         Returns whether this daemon may reach no engine at all; failures are
         no evidence then.
+    epochs
+        Epochs that engines have shown, by service.
     """
 
     orders: EngineControlPort
@@ -108,6 +111,7 @@
     changed: asyncio.Event
     unanswered: set[str] = attrs.field(factory=set)
     is_doubtful_reach: Callable[[], bool] = _reaches_engines
+    epochs: dict[str, EpochWatch] = attrs.field(factory=dict)
     _dead: dict[str, _DeadEngine] = attrs.field(factory=dict)
     _silent: dict[str, _SilentEngine] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
@@ -211,6 +215,9 @@
             self._dead.pop(record.engine, None)
             self._silent.pop(record.engine, None)
             self._record_slowness(record.engine, report.slowness, now_s)
+            if report.membership is not None and record.service in self.epochs:
+                watch = self.epochs[record.service]
+                watch.record_report(report.membership.epoch)
             return
         was_delayed = self.loop_delay.was_delayed_since(sent_at_s)
         if was_delayed or self.is_doubtful_reach():
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -19,6 +19,7 @@
 from yuccavalve.fleet.const import STALL_BUSY_S
 from yuccavalve.formation import (
     Demand,
+    EpochWatch,
     FormationInput,
     FormationPlanner,
     OrderTask,
@@ -121,13 +122,13 @@
 
     def _step(self) -> None:
         table = self.node.routing.table
-        condition = self.lease.lease.term_condition
-        if table is None or condition is None or not self.lease.is_held():
+        term = self.lease.term()
+        if table is None or term is None:
             return
         if self.node.reach.partitioned:
             return
-        if self._term != condition.version:
-            self._term = condition.version or 0
+        if self._term != term:
+            self._term = term
             self._planners.clear()
         for service in table.services.values():
             if service.engine is not None and self.node.view.version:
@@ -147,7 +148,10 @@
         planner = self._planners.get(service.name)
         if planner is None:
             drain_s = self.node.settings.bounds.drain_ms / _MS
-            planner = FormationPlanner(ReplicaHealth(drain_s))
+            planner = FormationPlanner(
+                ReplicaHealth(drain_s),
+                self._prober.epochs.setdefault(service.name, EpochWatch()),
+            )
             planner.start_term(self._term)
             self._planners[service.name] = planner
         facts = self._build_input(service, now_s)
@@ -161,6 +165,8 @@
             ),
             now_s,
         )
+        if not self._has_highest_term(planner, facts):
+            return
         for task in planner.step(facts, now_s):
             self._spawn(self._async_order(planner, task))
         for head in planner.take_ended_heads():
@@ -173,6 +179,22 @@
             )
         self._log_demand(service, facts, now_s)
 
+    def _has_highest_term(
+        self, planner: FormationPlanner, facts: FormationInput
+    ) -> bool:
+        """Return whether no engine is above the term; else raise the term."""
+        higher = planner.epochs.higher_term(facts)
+        if higher is None:
+            return True
+        if self.lease.lease.raise_above(higher):
+            logging.warning(
+                'event=term_exceeded service=%s term=%d higher=%d',
+                facts.service.name,
+                self._term,
+                higher,
+            )
+        return False
+
     def _suspended_joins(self) -> dict[tuple[str, ...], float]:
         """Return the suspensions' durations by service and model, in s."""
         return {
--- a/yuccavalve/daemon/lease_loop.py
+++ b/yuccavalve/daemon/lease_loop.py
@@ -60,10 +60,7 @@
 
     def term(self) -> int | None:
         """Return the term of the lease; None while it is not held."""
-        condition = self.lease.term_condition
-        if condition is None or not self.is_held():
-            return None
-        return condition.version or 0
+        return self.lease.term if self.is_held() else None
 
     async def async_run(self) -> None:
         """Renew or contend for the lease until cancelled."""
--- a/yuccavalve/formation/__init__.py
+++ b/yuccavalve/formation/__init__.py
@@ -1,6 +1,7 @@
 """Formation of multi-engine replicas: forming, opening and giving up."""
 
 from yuccavalve.formation.demand import Demand
+from yuccavalve.formation.epochs import EpochWatch
 from yuccavalve.formation.health import ReplicaHealth
 from yuccavalve.formation.models import (
     FormationInput,
@@ -12,6 +13,7 @@
 
 __all__ = (
     'Demand',
+    'EpochWatch',
     'FormationPlanner',
     'FormationInput',
     'FormingReplica',
--- a/yuccavalve/formation/const.py
+++ b/yuccavalve/formation/const.py
@@ -30,6 +30,14 @@
 # Epochs reserved for each term of the planner: more than it uses in a year at
 # one a minute.
 EPOCHS_PER_TERM: Final = 1000000
+# Higher epochs in records and reports are not heeded: an entry of another
+# writer may hold any, and above them the epochs of 63 bits would run out.
+MAX_HEEDED_EPOCH: Final = 4000000000000000000
+# Fraction by which a term is raised after an engine has refused it without
+# showing its epoch, and how many terms in a row one engine may refuse: enough
+# for an epoch three times as high.
+REFUSED_TERM_FRACTION: Final = 0.125
+REFUSED_TERMS: Final = 10
 # A replica whose head engine drains is given up this long before the engine
 # stops, even if no spare is warm.
 DRAIN_MARGIN_S: Final = 0.6
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -29,6 +29,7 @@
     SETTLE_S,
     STAGE_RETRY_S,
 )
+from yuccavalve.formation.epochs import EpochWatch
 from yuccavalve.formation.fences import HeadFences
 from yuccavalve.formation.heads import HeadAnswers
 from yuccavalve.formation.health import ReplicaHealth
@@ -79,6 +80,8 @@
         Detects open replicas that must be given up.
     repairs
         Measures how long models lacked a replica that was given up.
+    epochs
+        Notices engines' epochs that are above this planner's.
     suspensions
         Models whose joins are suspended because they crash engines.
     forming
@@ -86,6 +89,7 @@
     """
 
     health: ReplicaHealth
+    epochs: EpochWatch = attrs.field(factory=EpochWatch)
     repairs: Repairs = attrs.field(factory=Repairs)
     suspensions: JoinSuspensions = attrs.field(factory=JoinSuspensions)
     forming: dict[str, FormingReplica] = attrs.field(factory=dict)
@@ -124,8 +128,8 @@
         self.repairs.clear()
         self._heads.clear()
         self._sent_at_s.clear()
-        self._starter.start_term(term)
-        self._fences.start_term(term)
+        for part in (self.epochs, self._starter, self._fences):
+            part.start_term(term)
         self._rebalancer.clear()
         self._staging.clear()
 
@@ -170,6 +174,7 @@
             if self.suspensions.may_send(task) and self._is_due(task, now_s)
         ]
         self.suspensions.record_orders(due, now_s)
+        self.epochs.record_orders(due)
         _count_head_joins(self.forming, due)
         return due
 
@@ -177,6 +182,7 @@
         """Process the outcome of an order."""
         order = task.order
         self.suspensions.record_outcome(task, outcome)
+        self.epochs.record(task, outcome)
         self._fences.record(order, outcome)
         forming = _joined_by_head(self.forming, task)
         if forming is not None:
--- a/yuccavalve/membership/const.py
+++ b/yuccavalve/membership/const.py
@@ -6,6 +6,8 @@
 MEMBERS_REMOVED_KEY: Final = 'members-removed'
 LEASE_KEY: Final = 'lease/{duty}'
 TERM_KEY: Final = 'term/{duty}'
+# A million epochs of each term fit into 63 bits.
+MAX_TERM: Final = 9000000000000
 DUTY_PLANNER: Final = 'planner'
 DUTY_ELECTORATE: Final = 'electorate'
 # Daemons that contend for a duty's lease while it has no holder.
--- a/yuccavalve/membership/lease.py
+++ b/yuccavalve/membership/lease.py
@@ -5,10 +5,14 @@
 duration and a margin, so clocks are never compared. The holder counts the
 lease from before it sent the renewal, and stops by itself. A takeover raises
 the term; every transaction of a holder is conditional on the term's row, so a
-holder that resumes after its lease expired can't commit.
+holder that resumes after its lease expired can't commit. The term's number is
+the version of its row, or the number after the one that the row says it is
+above, if that is higher; so it can be raised by a holder that meets a higher
+one, and later terms are above it too.
 """
 
 import enum
+from typing import Any
 
 import attrs
 
@@ -16,6 +20,7 @@
 from yuccavalve.membership.const import (
     CANDIDATE_DELAY_S,
     LEASE_KEY,
+    MAX_TERM,
     TERM_KEY,
 )
 from yuccavalve.ports import Condition, Row, Transaction, Write, row_version
@@ -41,6 +46,8 @@
     ----------
     term_condition
         Condition of transactions under the lease; None while not held.
+    term
+        Number of the term that the row shows.
     """
 
     duty: str
@@ -49,7 +56,10 @@
     margin_s: float = LEASE_MARGIN_S
     held_until_s: float = _NEVER_S
     term_condition: Condition | None = None
+    term: int = 0
+    _above: int = 0
     _row: Row | None = None
+    _term_row: Row | None = None
     _seen_at_s: float = _NEVER_S
 
     @property
@@ -69,12 +79,25 @@
             self._seen_at_s = now_s
         self._row = row
         term_row = rows.get(self.term_key)
+        self._record_term(term_row)
         if self.is_holder() and term_row is not None:
             self.term_condition = Condition(self.term_key, term_row.version)
         else:
             self.term_condition = None
             self.held_until_s = _NEVER_S
 
+    def raise_above(self, term: int) -> bool:
+        """Let terms begin above this one; a holder begins a new one now.
+
+        Returns
+        -------
+            Whether this was not known before.
+        """
+        above = min(term, MAX_TERM)
+        is_new = above > self._above
+        self._above = max(above, self._above)
+        return is_new
+
     def step(
         self,
         now_s: float,
@@ -94,6 +117,8 @@
             Whether the holder is known to have yielded the lease.
         """
         if self.is_holder():
+            if 0 < self.term <= self._above:
+                return LeaseStep.ACQUIRE
             renew_at_s = self.held_until_s - self.duration_s / 2
             return LeaseStep.RENEW if now_s >= renew_at_s else LeaseStep.WAIT
         if self._row is None:
@@ -104,14 +129,15 @@
 
     def transaction(self, step: LeaseStep) -> Transaction:
         """Return the transaction that acquires or renews the lease."""
-        fields = {'holder': self.member}
-        writes = [Write(self.key, fields)]
+        conditions = [Condition(self.key, row_version(self._row))]
+        writes = [Write(self.key, {'holder': self.member})]
         if step is LeaseStep.ACQUIRE:
-            writes.append(Write(self.term_key, fields))
-        return Transaction(
-            (Condition(self.key, row_version(self._row)),),
-            tuple(writes),
-        )
+            # The lease's row may have come and gone since it was read.
+            conditions.append(
+                Condition(self.term_key, row_version(self._term_row))
+            )
+            writes.append(Write(self.term_key, self._new_term_fields()))
+        return Transaction(tuple(conditions), tuple(writes))
 
     def record_applied(
         self,
@@ -135,6 +161,9 @@
         self._row = Row(self.key, version, {'holder': self.member})
         if step is LeaseStep.ACQUIRE:
             self.term_condition = Condition(self.term_key, version)
+            self._record_term(
+                Row(self.term_key, version, self._new_term_fields())
+            )
 
     def holder(self) -> tuple[str, int]:
         """Return the holder and version of the row, as last read.
@@ -173,3 +202,22 @@
             self._row is not None
             and self._row.fields.get('holder') == self.member
         )
+
+    def _new_term_fields(self) -> dict[str, Any]:
+        return {'holder': self.member, 'above': max(self._above, self.term)}
+
+    def _record_term(self, row: Row | None) -> None:
+        """Record the term's row, whose number only falls if writes are lost."""
+        self._term_row = row
+        term = 0 if row is None else max(row.version, _above(row) + 1)
+        if term < self.term:
+            self.raise_above(self.term)
+        self.term = term
+
+
+def _above(row: Row) -> int:
+    """Return the term that a term is above; 0 in a row of another form."""
+    above = row.fields.get('above')
+    if isinstance(above, bool) or not isinstance(above, int):
+        return 0
+    return above if 0 <= above <= MAX_TERM else 0
