Don't pass an empty stream on whose end only the connection marks

An engine that stopped after the head of a stream without a length or chunks, and closed in order, left its caller with a 200 and an empty body that looked complete (both routes, one probe each before; now 502, or the whole stream of another engine where it may be resumed).

Cause: only a continued stream without events counted as broken. A first answer without events whose end is unmarked now does too, unless the caller resumes a stream, which may hold nothing more.

The new test of tests/platform/test_broken_answers.py gets 200 on the earlier code. The stand-in takes its engines' connections from the protocol, since the merged server hands another object to the answers: its resets had become closes in order, which two tests of this module showed.

--- a/tests/platform/standin/engines.py
+++ b/tests/platform/standin/engines.py
@@ -162,7 +162,8 @@
             await send(message)
 
         self._engine.arrivals_s.append(time.monotonic())
-        scope['standin.transport'] = send.__self__.transport
+        protocol = send.__self__.on_response.__self__
+        scope['standin.transport'] = protocol.transport
         scope['standin.notices'] = self._engine.notices()
         await super().__call__(scope, receive, async_send)
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Mapping
 
 from tests.platform import builders
 from tests.platform.standin import FleetStandin, Framing
@@ -20,6 +21,18 @@
 _NOT_RESUMABLE = '/once-llm/x'
 
 
+def _head_alone(fields: Mapping[str, str]) -> bytes:
+    """Return the head of a stream whose end is marked by the connection."""
+    request_id = fields['request-id']
+    lines = (
+        'HTTP/1.1 200 OK',
+        f'Request-Id: {request_id}',
+        f'Response-Signature: {request_id}.i-0',
+        'Content-Type: text/event-stream',
+    )
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
 def _events(body: bytes) -> list[int]:
     lines = body.decode().splitlines()
     return [int(line[4:]) for line in lines if line.startswith('id: ')]
@@ -97,6 +110,30 @@
                 engine.break_after_events = -1
         return await pending
 
+    async def test_stream_closed_after_its_head_is_not_complete(self) -> None:
+        """Guards against an empty stream for an engine that has stopped."""
+        for engine in self.fleet.engines.values():
+            engine.answer_bytes = _head_alone
+        for target in (_RESUMABLE, _NOT_RESUMABLE):
+            await self._async_until_none_suspect()
+            with self.subTest(target=target):
+                answer = await self._async_call(target, f'head-{target}')
+                self.assertEqual(answer.status, 502)
+        await self._async_until_none_suspect()
+        stopped: list[str] = []
+
+        def answer_once(fields: Mapping[str, str]) -> bytes:  # noqa: WPS430
+            if stopped:
+                return b''
+            stopped.append(fields['request-id'])
+            return _head_alone(fields)
+
+        for engine in self.fleet.engines.values():
+            engine.answer_bytes = answer_once
+        answer = await self._async_call(_RESUMABLE, 'resumed')
+        self.assertEqual(stopped, ['resumed'])
+        self.assertEqual(_events(answer.body), list(range(1, 9)))
+
     async def test_stream_ended_inside_an_event_is_not_complete(self) -> None:
         for framing in Framing:
             self._set_faults(framing, break_after_events=3)
--- a/yuccavalve/gateway/dispatch.py
+++ b/yuccavalve/gateway/dispatch.py
@@ -56,6 +56,7 @@
     BackendAnswer,
     BackendPort,
     BackendRequest,
+    BodyFraming,
 )
 from yuccavalve.ports.fleet import EngineRecord
 from yuccavalve.quarantine import QuarantineHit, RequestQuarantine
@@ -496,7 +497,13 @@
         finally:
             routed.partial_event_bytes = splitter.partial_bytes
         splitter.check_complete()
-        if continues and not attempt.has_events:
+        # An engine that stops before its first event closes in the same way
+        # as one that has ended such a stream.
+        is_unmarked = answer.framing is BodyFraming.CONNECTION
+        is_whole_stream = routed.inbound.resume_after is None
+        if not attempt.has_events and (
+            continues or (is_unmarked and is_whole_stream)
+        ):
             return False
         if not routed.response_began:
             await async_send_start(routed, answer.status, answer.headers)
