Let tests of changed settings listen on any metrics port

Cause: the settings template names port 9100 for metrics, which the other run had taken (OSError 98). With the port taken, the test fails on the earlier code and all three tests pass now.

--- a/tests/platform/test_stop_settings.py
+++ b/tests/platform/test_stop_settings.py
@@ -59,7 +59,8 @@
             'platform.address': self.fleet.store_address,
             'bounds.grace_s': str(grace_s),
         }
-        self.path.write_text(builders.settings_text(fields))
+        text = builders.settings_text(fields)
+        self.path.write_text(text.replace('127.0.0.1:9100', '127.0.0.1:0'))
 
     async def _async_stop_after_change(self, *signals: int) -> None:
         self._write(_SHORT_S)
