Read the list of engines before the first step of a planner

Cause: a daemon that acquires the planner lease took its first step with the view that it had, up to 1.4 s old on a follower and older while the store is slow. Replicas that the last planner had opened since did not show, and their members were ordered into others. The new term's epochs are higher, so engines accept them.

Change: no step before a reading of the list that began after the lease was acquired. Price: one call to the store at each change of the planner.

The first three new tests of TakeoverTest fail without the gate. Test doubles of the lease and the view in test_formation_duty got the two new times; their checks are unchanged.

--- a/tests/daemon/test_formation_duty.py
+++ b/tests/daemon/test_formation_duty.py
@@ -15,7 +15,7 @@
 from yuccavalve.formation import FormationInput, FormationPlanner
 from yuccavalve.formation.const import EPOCHS_PER_TERM
 from yuccavalve.membership import Lease, LeaseStep
-from yuccavalve.ports.fleet import Membership, MemberState
+from yuccavalve.ports.fleet import EngineChanges, Membership, MemberState
 from yuccavalve_platform.daemon import build_ports
 
 
@@ -31,7 +31,8 @@
         document['services'].append({**second, 'name': 'second'})
         node.adopt_routes(json.dumps(document).encode(), 'test')
         node.view.version = 1
-        lease = mock.Mock()
+        node.view.as_of_s = 0
+        lease = mock.Mock(tenure_began_at_s=0)
         lease.term.return_value = 7
         duty = FormationDuty(node, lease)
         planned = []
@@ -60,9 +61,10 @@
         node = build_gateway_node(settings, build_ports(settings), Random(1))
         node.adopt_routes(json.dumps(builders.configuration()).encode(), 'test')
         node.view.version = 1
+        node.view.as_of_s = 0
         lease = Lease('planner', 'a')
         lease.record_applied(node.clock.now_s(), LeaseStep.ACQUIRE, 7)
-        loop = mock.Mock(lease=lease)
+        loop = mock.Mock(lease=lease, tenure_began_at_s=0)
         loop.term.side_effect = lambda: lease.term
         duty = FormationDuty(node, loop)
         epoch = 60 * EPOCHS_PER_TERM + 3
@@ -89,3 +91,47 @@
             lease.record_applied(now_s, step, 8)
             duty._step()
         self.assertEqual(terms, [61])
+
+
+class TakeoverTest(unittest.TestCase):
+    """A daemon acquires the lease while its view is of an earlier time."""
+
+    def setUp(self) -> None:
+        """Build a daemon that has read the list at 5 s."""
+        settings = builders.settings('127.0.0.1:1')
+        self.node = build_gateway_node(
+            settings, build_ports(settings), Random(1)
+        )
+        self.node.adopt_routes(
+            json.dumps(builders.configuration()).encode(), 'test'
+        )
+        self.node.view.apply(EngineChanges(1, {}, is_complete=True), 5)
+
+    def _count_steps(self, tenure_began_at_s: float) -> int:
+        lease = mock.Mock(tenure_began_at_s=tenure_began_at_s)
+        lease.term.return_value = 7
+        duty = FormationDuty(self.node, lease)
+        with mock.patch.object(
+            FormationPlanner, 'step', return_value=[]
+        ) as step:
+            duty._step()
+        return step.call_count
+
+    def test_no_step_before_the_list_is_read(self) -> None:
+        """Members of replicas that the last planner had opened were taken."""
+        self.assertEqual(self._count_steps(tenure_began_at_s=6), 0)
+
+    def test_reading_that_began_earlier_does_not_count(self) -> None:
+        """The last planner may have opened a replica during the call."""
+        self.node.view.apply(EngineChanges(2, {}), 7, began_at_s=5.5)
+        self.assertEqual(self._count_steps(tenure_began_at_s=6), 0)
+
+    def test_news_of_other_daemons_do_not_count(self) -> None:
+        """They may be older than the lease."""
+        self.node.view.apply_relayed(EngineChanges(3, {}), 6.5)
+        self.assertEqual(self._count_steps(tenure_began_at_s=6), 0)
+
+    def test_step_after_the_list_is_read(self) -> None:
+        """Planning goes on."""
+        self.node.view.apply(EngineChanges(2, {}), 7, began_at_s=6.5)
+        self.assertEqual(self._count_steps(tenure_began_at_s=6), 1)
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from yuccavalve.fleet.const import RELIST_GRACE_S
+from yuccavalve.fleet.const import MAX_READ_GAP_S, RELIST_GRACE_S
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.ports.fleet import EngineChanges, EngineRecord
 
@@ -107,6 +107,21 @@
         self.view.apply(EngineChanges(200, {}), 10 + RELIST_GRACE_S)
         self.assertFalse(self._serves())
 
+    def test_engine_that_may_be_listed_again_is_missing(self) -> None:
+        self.view.record_outage(10)
+        self._apply(None, 10.5)
+        self.assertEqual(self.view.missing, {'i-1'})
+        self._apply(_RECORD, 11)
+        self.assertEqual(self.view.missing, frozenset())
+
+    def test_pause_between_readings_is_remembered(self) -> None:
+        self._apply(_RECORD, 1 + MAX_READ_GAP_S)
+        self.assertEqual(self.view.followed_since_s, 1)
+        resumed_s = 1.1 + 2 * MAX_READ_GAP_S
+        self._apply(_RECORD, resumed_s)
+        self._apply(_RECORD, resumed_s + 1)
+        self.assertEqual(self.view.followed_since_s, resumed_s)
+
     def test_heartbeat_from_before_a_restart_is_ignored(self) -> None:
         restarted = attrs.evolve(_RECORD, born_ms=200, address='10.0.0.2:1')
         self._apply(restarted, 2)
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -129,6 +129,9 @@
             return
         if self.node.reach.partitioned:
             return
+        if self.node.view.as_of_s < self.lease.tenure_began_at_s:
+            # The last planner may have opened replicas since.
+            return
         if self._term != term:
             self._term = term
             self._planners.clear()
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -138,13 +138,14 @@
     async def _async_round(self) -> None:
         view = self.node.view
         feed = self.node.ports.engine_feed
+        began_at_s = self.node.clock.now_s()
         if self._full_read_due:
             changes = await feed.async_read()
         else:
             wait_s = ENGINE_WAIT_S if self.node.share_state.plans else 0
             changes = await feed.async_changes(view.version, wait_s)
         self._full_read_due = False
-        view.apply(changes, self.node.clock.now_s())
+        view.apply(changes, self.node.clock.now_s(), began_at_s)
         self.node.handle_engine_update()
         if changes.records:
             self.node.engines_changed.set()
--- a/yuccavalve/daemon/lease_loop.py
+++ b/yuccavalve/daemon/lease_loop.py
@@ -23,16 +23,26 @@
 _LEASE_POLL_S = 0.45
 # Time without a planner after which daemons that are not hubs contend.
 _NON_HUB_WAIT_S = 4.0
+_NEVER_S = float('-inf')
 # Consecutive failed calls after which a holder yields the lease.
 _YIELD_FAILURES = 2
 
 
 @attrs.define
 class LeaseLoop:
-    """Holds or contends for the planner lease."""
+    """Holds or contends for the planner lease.
+
+    Attributes
+    ----------
+    tenure_began_at_s
+        Monotonic time since which this daemon has held the lease in the
+        present term without a break.
+    """
 
     node: GatewayNode
     lease: Lease = attrs.field(init=False)
+    tenure_began_at_s: float = _NEVER_S
+    _tenure_term: int | None = None
     _failures: int = 0
     _planner_seen_at_s: float = attrs.field(init=False)
     _yielded_seen_at_s: float = attrs.field(init=False)
@@ -78,9 +88,16 @@
             else:
                 self._failures = 0
             self._yield_if_partitioned()
+            self._record_tenure()
             self.node.record_planning(self.is_held())
             await asyncio.sleep(jittered(self.node.random, _LEASE_POLL_S))
 
+    def _record_tenure(self) -> None:
+        term = self.term()
+        if term != self._tenure_term:
+            self._tenure_term = term
+            self.tenure_began_at_s = self.node.clock.now_s()
+
     def _record_unavailable(self, error: StoreUnavailableError) -> None:
         """Yield the lease after repeated failures to reach the store.
 
--- a/yuccavalve/fleet/const.py
+++ b/yuccavalve/fleet/const.py
@@ -45,6 +45,10 @@
 # leave serve on for up to ten seconds while their replica has work, and
 # sometimes longer.
 UNLISTED_RETENTION_S: Final = 40.0
+# Pause between two readings of the feed in which an engine may have been
+# listed, opened a replica and been removed again. A daemon without current
+# updates from its peers reads more often.
+MAX_READ_GAP_S: Final = 2.0
 # Number of removed engines that a view remembers, to report them to
 # followers. A follower that missed more removals gets all records.
 MAX_REMOVALS_REMEMBERED: Final = 500
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -7,6 +7,7 @@
 
 from yuccavalve.fleet.const import (
     MAX_LOGGED_SILENCE_S,
+    MAX_READ_GAP_S,
     MAX_REMOVALS_REMEMBERED,
     MIN_EXPIRY_SILENCE_S,
     RELIST_GRACE_S,
@@ -40,6 +41,12 @@
         Version of the feed up to which changes were applied.
     read_at_s, first_read_at_s
         Monotonic times of the last and the first answer of the feed.
+    as_of_s
+        Monotonic time at which this daemon's last reading of the feed began.
+        The records show all that the store had accepted by then.
+    followed_since_s
+        Monotonic time since which no engine can have been listed and removed
+        unseen, as the feed was read often enough.
     revision
         Revision of this view, which grows with each change.
     unlisted
@@ -59,6 +66,8 @@
     version: int = 0
     read_at_s: float = _NEVER_S
     first_read_at_s: float = _NEVER_S
+    as_of_s: float = _NEVER_S
+    followed_since_s: float = _NEVER_S
     revision: int = 0
     unlisted: dict[str, EngineRecord] = attrs.field(factory=dict)
     withdrawn: set[str] = attrs.field(factory=set)
@@ -84,12 +93,26 @@
         """Return whether a missing record is certain to be removed."""
         return now_s >= self._outage_until_s
 
-    def apply(self, engine_changes: EngineChanges, now_s: float) -> None:
-        """Apply changes that this daemon read from the feed."""
+    def apply(
+        self,
+        engine_changes: EngineChanges,
+        now_s: float,
+        began_at_s: float | None = None,
+    ) -> None:
+        """Apply changes that this daemon read from the feed.
+
+        Parameters
+        ----------
+        engine_changes
+            Changes since the last reading, or all records.
+        now_s
+            Monotonic time.
+        began_at_s
+            Monotonic time at which the reading began; ``now_s`` if None.
+        """
         self.version = engine_changes.version
-        self.read_at_s = now_s
-        if self.first_read_at_s == _NEVER_S:
-            self.first_read_at_s = now_s
+        self.as_of_s = now_s if began_at_s is None else began_at_s
+        self._record_read(now_s)
         for engine, record in engine_changes.records.items():
             self._log_change(engine, record, engine_changes)
             self._apply_record(engine, record, now_s)
@@ -129,9 +152,7 @@
         if engine_changes.version < self.version:
             return False
         self.version = engine_changes.version
-        self.read_at_s = max(self.read_at_s, read_at_s)
-        if self.first_read_at_s == _NEVER_S:
-            self.first_read_at_s = read_at_s
+        self._record_read(read_at_s)
         for engine, record in engine_changes.records.items():
             self._log_change(engine, record, engine_changes)
             if record is None:
@@ -143,6 +164,13 @@
                 self._remove(missing, MIN_EXPIRY_SILENCE_S)
         return True
 
+    def _record_read(self, read_at_s: float) -> None:
+        if read_at_s - self.read_at_s > MAX_READ_GAP_S:
+            self.followed_since_s = read_at_s
+        self.read_at_s = max(self.read_at_s, read_at_s)
+        if self.first_read_at_s == _NEVER_S:
+            self.first_read_at_s = read_at_s
+
     def changed_since(
         self,
         revision: int,
@@ -202,6 +230,14 @@
         """Return the record of an engine, or None if it has none."""
         return self._records.get(engine)
 
+    @property
+    def missing(self) -> frozenset[str]:
+        """Return the engines that are no longer listed, but may be again.
+
+        Their records are kept meanwhile, and show what they last were.
+        """
+        return frozenset(self._missing_since_s)
+
     def is_listed(self, engine: str) -> bool:
         """Return whether the store currently lists an engine."""
         return engine in self._records and engine not in self._missing_since_s
