Keep members whose head was never seen after a gap in reading the list

Cause: the members of a replica without a head in any record were kept only by daemons that had just started. A daemon that lost the store for some seconds knows as little: a head may have been listed, opened its replica and withdrawn its record meanwhile, and still serve. If that daemon took over, the members looked free.

--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -29,7 +29,7 @@
 from yuccavalve.formation.const import (
     DEMAND_LOG_S,
     MIN_STEP_S,
-    NEW_DAEMON_GRACE_S,
+    NEW_VIEW_GRACE_S,
     PASSING_RETRY_S,
     PROBE_INTERVAL_S,
     STALLED_PROBE_INTERVAL_S,
@@ -265,7 +265,7 @@
             strikes=strikes,
             settled=view.is_settled(now_s),
             started=self.node.share_state.started,
-            is_new_daemon=now_s - view.first_read_at_s < NEW_DAEMON_GRACE_S,
+            is_view_new=now_s - view.followed_since_s < NEW_VIEW_GRACE_S,
             evacuated=self.node.evacuations.zones,
             longest_request_s=self._limits.longest_request_s(
                 service.name, now_s
--- a/yuccavalve/formation/const.py
+++ b/yuccavalve/formation/const.py
@@ -121,10 +121,10 @@
 # Added to the expected joining time of a slow engine, so that it joins only
 # when all others would take this much longer.
 SLOW_PENALTY_S: Final = 60.0
-# How long after its first read of the list a daemon may not know of engines
+# How long after a daemon began to follow the list it may not know of engines
 # that have left the list and still serve; they serve for ten seconds at most
 # while their replica has work.
-NEW_DAEMON_GRACE_S: Final = 10.0
+NEW_VIEW_GRACE_S: Final = 10.0
 # How long a head engine that refuses connections may still work on requests
 # that it has, as the platform states for engines that leave. One that is silent
 # counts as stopped after the same time if no other daemon can be asked.
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -79,8 +79,9 @@
         domain and the model that they hold.
     priority_model
         Model that other replicas were just given up for; it forms first.
-    is_new_daemon
-        Whether this daemon first read the list only a short time ago.
+    is_view_new
+        Whether this daemon has followed the list only for a short time, since
+        it started or could not read it for a while.
     evacuated
         Zones whose engines get no new requests. Their replicas are kept, but
         don't count, and their engines are not used for others.
@@ -108,7 +109,7 @@
     former_models: Mapping[str, str] = attrs.field(factory=dict)
     soon_available: Mapping[str, Mapping[str, int]] = attrs.field(factory=dict)
     priority_model: str = ''
-    is_new_daemon: bool = False
+    is_view_new: bool = False
     evacuated: frozenset[str] = frozenset()
     suspended: frozenset[str] = frozenset()
     missing: frozenset[str] = frozenset()
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -145,7 +145,7 @@
         self._give_up_unhealthy(facts, replicas, now_s)
         self._finish_retiring(facts)
         taken = self._taken(replicas)
-        if facts.is_new_daemon:
+        if facts.is_view_new:
             taken.update(_members_without_head(replicas))
         counts = self._counts(facts, replicas)
         self._rebalance(facts, replicas, counts, taken)
@@ -648,8 +648,7 @@
 def _members_without_head(replicas: Mapping[str, ObservedReplica]) -> set[str]:
     """Return members of replicas whose head engine is in no record.
 
-    It may have left the list before this daemon first read it, and still
-    serve.
+    It may have left the list before this daemon followed it, and still serve.
     """
     return {
         engine
