Use no engine by an old record while it is missing from the list

Cause: an engine that goes missing in an outage of the store stays in the view for 2.5 s as it last was. A planner whose view had missed what came after that record ordered such an engine into another replica, or, as its record showed an earlier replica with it as head, fenced it out of the one that it had opened.

Change: missing engines join nothing until they are listed again, and heads that a new view doesn't list are not fenced.

--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -266,6 +266,7 @@
             settled=view.is_settled(now_s),
             started=self.node.share_state.started,
             is_view_new=now_s - view.followed_since_s < NEW_VIEW_GRACE_S,
+            unsure=view.missing & listed.keys(),
             evacuated=self.node.evacuations.zones,
             longest_request_s=self._limits.longest_request_s(
                 service.name, now_s
--- a/yuccavalve/formation/fences.py
+++ b/yuccavalve/formation/fences.py
@@ -70,8 +70,13 @@
         """Return the order that fences the head engine, or None.
 
         It is sent only directly after the engine has confirmed that it left,
-        when late orders cannot have opened the replica again.
+        when late orders cannot have opened the replica again. The last record
+        of an engine that a new view does not list may be out of date, and the
+        engine may have opened another replica.
         """
+        is_listed = replica.head in facts.engines.keys() - facts.unsure
+        if facts.is_view_new and not is_listed:
+            return None
         left_s = now_s - left_at_s.get(replica.replica, float('-inf'))
         if left_s > FENCE_AFTER_LEAVE_S or not self.is_needed(facts, replica):
             return None
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -82,6 +82,9 @@
     is_view_new
         Whether this daemon has followed the list only for a short time, since
         it started or could not read it for a while.
+    unsure
+        Listed engines that the store no longer shows. They may be listed again
+        soon; until then their records may be out of date.
     evacuated
         Zones whose engines get no new requests. Their replicas are kept, but
         don't count, and their engines are not used for others.
@@ -110,6 +113,7 @@
     soon_available: Mapping[str, Mapping[str, int]] = attrs.field(factory=dict)
     priority_model: str = ''
     is_view_new: bool = False
+    unsure: frozenset[str] = frozenset()
     evacuated: frozenset[str] = frozenset()
     suspended: frozenset[str] = frozenset()
     missing: frozenset[str] = frozenset()
--- a/yuccavalve/formation/observation.py
+++ b/yuccavalve/formation/observation.py
@@ -116,15 +116,19 @@
     """Return the engines that may join a replica, by fabric domain."""
     domains: dict[str, list[EngineRecord]] = defaultdict(list)
     for record in facts.engines.values():
-        if record.draining or record.engine in taken:
-            continue
-        if record.availability_zone in facts.evacuated:
-            continue
-        if record.engine not in facts.dead:
+        if record.engine not in taken and _is_usable(facts, record):
             domains[record.fabric_domain].append(record)
     return domains
 
 
+def _is_usable(facts: FormationInput, record: EngineRecord) -> bool:
+    if record.draining or record.availability_zone in facts.evacuated:
+        return False
+    return record.engine not in facts.dead and (
+        record.engine not in facts.unsure
+    )
+
+
 def missing_models(
     facts: FormationInput, counts: Mapping[str, int]
 ) -> frozenset[str]:
