--- a/tests/formation/test_takeovers.py
+++ b/tests/formation/test_takeovers.py
@@ -4,8 +4,15 @@
 from collections.abc import Iterator
 from random import Random
 
+import attrs
+
 from tests.support.daemon_model import DaemonFleetModel, ModelDaemon
-from tests.support.fleet_model import ModelEngine, service_profile
+from tests.support.fleet_model import (
+    FleetModel,
+    ModelEngine,
+    service_profile,
+)
+from yuccavalve.formation import FormationPlanner, ReplicaHealth
 
 _SIZES = (((6, 3), (0.67, 0.33)), ((3,), (1,)), ((3, 2), (0.5, 0.5)))
 _LATE_SHARES = (0, 0.1, 0.3, 0.5)
@@ -16,10 +23,10 @@
 
 
 class UnseenReplicaTest(unittest.TestCase):
-    """A replica is formed and its head leaves while a daemon sees nothing.
+    """A replica is formed and an engine leaves while a daemon sees nothing.
 
     The daemon then takes over. Its view shows the members without their head,
-    and the head as it was long before.
+    and engines that are missing as they were long before.
     """
 
     def _unseen_heads(
@@ -39,29 +46,72 @@
             if head.joined.epoch not in known
         ]
 
-    def test_unseen_replica_keeps_its_engines(self) -> None:
-        """The head and members were taken for others while it was open."""
+    def _take_over_blindly(
+        self, seed: int, ranks: tuple[int, ...]
+    ) -> list[str] | None:
+        """Return the broken rules; None if no replica was formed unseen.
+
+        Parameters
+        ----------
+        seed
+            Seed of the schedule.
+        ranks
+            Ranks of the engines that leave the list.
+        """
+        model = DaemonFleetModel(Random(seed), service_profile((3,), (1,)))
+        model.add('d0', 7 + seed % 5)
+        model.daemons = [ModelDaemon() for _ in range(3)]
+        model.run_daemons(12)
+        blind = next(
+            daemon for daemon in model.daemons if daemon is not model.holder
+        )
+        heads = self._unseen_heads(model, blind)
+        if not heads:
+            return None
+        model.heal_daemons()
+        members = heads[0].joined.members
+        for rank in ranks:
+            model.depart(members[rank], model.random.uniform(3, 10))
+        model.hand_over(blind)
+        model.run_daemons(6)
+        return model.violations
+
+    def _check(self, *ranks: int) -> None:
         played = 0
         for seed in range(60):
-            model = DaemonFleetModel(Random(seed), service_profile((3,), (1,)))
-            model.add('d0', 7 + seed % 3)
-            model.daemons = [ModelDaemon() for _ in range(3)]
-            model.run_daemons(12)
-            blind = next(
-                daemon for daemon in model.daemons if daemon is not model.holder
-            )
-            heads = self._unseen_heads(model, blind)
-            if not heads:
-                continue
-            played += 1
-            model.heal_daemons()
-            model.depart(heads[0].engine, model.random.uniform(3, 10))
-            model.hand_over(blind)
-            model.run_daemons(6)
-            with self.subTest(seed=seed):
-                self.assertEqual(model.violations, [])
+            violations = self._take_over_blindly(seed, ranks)
+            if violations is not None:
+                played += 1
+                with self.subTest(seed=seed):
+                    self.assertEqual(violations, [])
         self.assertGreater(played, 20)
 
+    def test_unseen_replica_of_a_leaving_head_keeps_its_engines(self) -> None:
+        """The head and members were taken for others while it was open."""
+        self._check(0)
+
+    def test_members_that_leave_with_an_unseen_head_are_not_taken(self) -> None:
+        """They were taken for the spares that they had been."""
+        self._check(0, 1)
+        self._check(0, 2)
+
+
+class MissingEngineTest(unittest.TestCase):
+    """One of three engines went missing from the list a short time ago."""
+
+    def test_no_replica_is_formed_with_it(self) -> None:
+        """It may be in another replica by now."""
+        model = FleetModel(Random(1), service_profile((3,), (1,)))
+        model.add('d0', 3)
+        model.run(1)
+        planner = FormationPlanner(ReplicaHealth(2))
+        planner.start_term(1)
+        missing = frozenset(('d0-1',))
+        facts = attrs.evolve(model.facts(), unsure=missing)
+        tasks = planner.step(facts, model.now_s)
+        self.assertNotIn('d0-1', {task.engine.engine for task in tasks})
+        self.assertEqual(planner.forming, {})
+
 
 class OrderSearchTest(unittest.TestCase):
     """Random faults of engines, orders and daemons, and changes of planners.
