Bound what callers send in one account for the process

Callers saw: a trial of the users ended a process with heads without end, bodies that stop short of their end, and requests sent ahead; all its other callers lost their requests.

Cause: bounds held for one connection only, and requests ahead had none: the server library parses all that was read, and resumes reading at each answer. Nothing bounded connections.

Receive buffers of sockets are bounded. held.py moved to memory/ beside it.

--- /dev/null
+++ b/tests/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bounds of what a process holds for its callers."""
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -11,7 +11,7 @@
 from tests.platform import builders
 from tests.platform.standin import EngineOptions, FleetStandin
 from tests.platform.support import DaemonRun, async_stop_all, async_until
-from yuccavalve.held import ALWAYS_BYTES
+from yuccavalve.memory import ALWAYS_BYTES
 from yuccavalve.settings import MemorySettings
 
 _EVENTS = 200
--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -20,7 +20,7 @@
     BackendResetError,
     PermitExpiredError,
 )
-from yuccavalve.held import ALWAYS_BYTES, HeldBytes
+from yuccavalve.memory import ALWAYS_BYTES, HeldBytes
 from yuccavalve.ports.backend import BodyFraming, HeaderFields
 from yuccavalve.ports.sending import MaySend, always
 
--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -14,6 +14,7 @@
     add_held_gauges,
     add_limit_gauges,
     add_quarantine_gauges,
+    add_received_gauges,
 )
 from yuccavalve.relay.entry import RelayEntry
 
@@ -66,6 +67,7 @@
     metrics.gauge('engines_age_seconds', lambda: _engines_age_s(node))
     metrics.gauge('engines_listed', lambda: len(tuple(node.view.records())))
     add_held_gauges(metrics, node.ports.held)
+    add_received_gauges(metrics, node.received)
 
 
 def _add_daemon_gauges(metrics: Metrics, node: GatewayNode) -> None:
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -43,7 +43,7 @@
 from yuccavalve.gateway.budget import RetryBudgetSettings, ServiceRetryBudgets
 from yuccavalve.gateway.forecasts import PoolForecasts
 from yuccavalve.gateway.waiting import AdmissionGate
-from yuccavalve.held import HeldBytes
+from yuccavalve.memory import HeldBytes, ReceivedBytes, new_received_bytes
 from yuccavalve.membership import HubRanking, Member, Roster
 from yuccavalve.observability import LogRateLimiter, UnreadableInputs
 from yuccavalve.peers import PeerClient, ShareState
@@ -143,6 +143,8 @@
         Whether the rows of all daemons were read since the start.
     startup
         What this daemon has learned since its start.
+    received
+        What callers have sent and is held, and their connections.
     reach
         Whether this daemon reaches engines.
     relay_sender
@@ -166,6 +168,7 @@
     grantor: PermitGrantor
     evacuations: EvacuationState
     warmups: WarmupTracker
+    received: ReceivedBytes = attrs.field(factory=ReceivedBytes)
     reach: EngineReach = attrs.field(factory=EngineReach)
     relay_sender: NeighborSender | None = None
     member_rows_read: bool = False
@@ -489,6 +492,10 @@
             settings.bounds.entry_lifetime_s,
         ),
         hubs=HubRanking(roster),
+        received=new_received_bytes(
+            settings.memory.received_limit_bytes,
+            settings.memory.max_connections,
+        ),
         limiter=dispatcher.selector.limiter,
         grantor=PermitGrantor(dispatcher.selector.limiter.table),
         evacuations=dispatcher.selector.evacuations,
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -262,6 +262,7 @@
                     application,
                     self._listener(purpose, address),
                     KEEP_ALIVE_S,
+                    node.received,
                 )
                 await server.async_start()
                 self._servers.append(server)
--- a/yuccavalve/observability/__init__.py
+++ b/yuccavalve/observability/__init__.py
@@ -6,6 +6,7 @@
     add_held_gauges,
     add_limit_gauges,
     add_quarantine_gauges,
+    add_received_gauges,
 )
 from yuccavalve.observability.unreadable import UnreadableInputs
 
@@ -16,5 +17,6 @@
     'add_held_gauges',
     'add_limit_gauges',
     'add_quarantine_gauges',
+    'add_received_gauges',
     'setup_logs',
 )
--- a/yuccavalve/observability/metrics.py
+++ b/yuccavalve/observability/metrics.py
@@ -7,10 +7,11 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
-from yuccavalve.held import HeldBytes
+from yuccavalve.memory import HeldBytes
 from yuccavalve.clock import Clock
 from yuccavalve.quarantine import RequestQuarantine
 from yuccavalve.ratelimit import PermitGrantor, RateLimiter
+from yuccavalve.memory import ReceivedBytes
 
 __all__ = (
     'LabelledSeries',
@@ -19,6 +20,7 @@
     'add_held_gauges',
     'add_limit_gauges',
     'add_quarantine_gauges',
+    'add_received_gauges',
 )
 
 _LOWEST_MS = 1
@@ -154,6 +156,18 @@
     metrics.gauge('answer_waits_for_room', lambda: held.waits)
 
 
+def add_received_gauges(metrics: Metrics, received: ReceivedBytes) -> None:
+    """Add gauges of what callers have sent, and of their connections."""
+    metrics.gauge('request_bytes_held', lambda: received.held_bytes)
+    metrics.gauge('request_bytes_held_peak', lambda: received.peak_bytes)
+    metrics.gauge('caller_connections', lambda: received.connections)
+    metrics.labelled_counters(
+        'connections_shed',
+        ('reason',),
+        lambda: {(reason,): count for reason, count in received.shed.items()},
+    )
+
+
 def add_quarantine_gauges(
     metrics: Metrics, quarantine: RequestQuarantine
 ) -> None:
--- a/yuccavalve/relay/sender.py
+++ b/yuccavalve/relay/sender.py
@@ -61,6 +61,7 @@
         ResultCode.CONFIGURATION_UNCONFIRMED,
         ResultCode.BACKEND_UNREACHABLE,
         ResultCode.RELAY_FULL,
+        ResultCode.RECEIVED_FULL,
         ResultCode.ENGINES_UNREACHABLE,
     )
 )
--- a/yuccavalve/settings/gateway.py
+++ b/yuccavalve/settings/gateway.py
@@ -14,6 +14,13 @@
 )
 
 _HELD_FRACTION = 0.125
+_RECEIVED_FRACTION = 0.125
+# Descriptors for files, listening sockets, the store and other daemons, and the
+# fraction of the others that callers may take: a request takes one more to an
+# engine.
+_OWN_DESCRIPTORS = 200
+_CALLERS_FRACTION = 0.5
+_MIN_CONNECTIONS = 16
 _BYTES_PER_MB = 1048576
 
 
@@ -128,10 +135,17 @@
     held_mb
         Bound of the answers that are held for callers; 0 for an eighth of the
         limit, since the rest of a daemon needs about half of the smallest one.
+    received_mb
+        Bound of what callers have sent and is held; 0 for an eighth.
+    max_descriptors
+        Open files and sockets that the process may have, if the system doesn't
+        allow fewer; 0 for what the system allows.
     """
 
     limit_mb: float = 256
     held_mb: float = 0
+    received_mb: float = 0
+    max_descriptors: int = 0
 
     @property
     def held_limit_bytes(self) -> int:
@@ -139,6 +153,26 @@
         held_mb = self.held_mb or self.limit_mb * _HELD_FRACTION
         return int(held_mb * _BYTES_PER_MB)
 
+    @property
+    def received_limit_bytes(self) -> int:
+        """Return the bound of what callers have sent and is held."""
+        received_mb = self.received_mb or self.limit_mb * _RECEIVED_FRACTION
+        return int(received_mb * _BYTES_PER_MB)
+
+    def max_connections(self, allowed_descriptors: int) -> int:
+        """Return how many callers' connections may be open.
+
+        Parameters
+        ----------
+        allowed_descriptors
+            Descriptors that the system allows.
+        """
+        descriptors = allowed_descriptors
+        if self.max_descriptors:
+            descriptors = min(descriptors, self.max_descriptors)
+        left = max(0, descriptors - _OWN_DESCRIPTORS)
+        return max(_MIN_CONNECTIONS, int(left * _CALLERS_FRACTION))
+
 
 @attrs.frozen
 class GatewaySettings:
--- a/yuccavalve/sockets.py
+++ b/yuccavalve/sockets.py
@@ -16,6 +16,8 @@
 BACKLOG: Final = 1024
 _USER_TIMEOUT_MS = 60000
 _SEND_BUFFER_BYTES = 131072
+# The system holds twice as much of what a paused connection has received.
+_RECEIVE_BUFFER_BYTES = 32768
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -42,6 +44,9 @@
         _USER_TIMEOUT_MS,
     )
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+    listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
     listener.bind((host, port))
     listener.setblocking(False)
     return listener
