Bound elements without an end and fields in engines' answers

Callers would see: a faulty engine fills the memory of the daemon, whose other requests end with it (reported by another operator, not seen here).

Cause: the bound of bytes besides the body grows with the body, 16 for each byte, and the parser holds all of a field, trailer or chunk line without an end. Small fields take 160 bytes of memory each, and heads were in no account.

Change: an element may have 64 KB and one read, a head 256 fields, and heads count in the account of answers.

--- a/tests/adapters/test_endless_answers.py
+++ b/tests/adapters/test_endless_answers.py
@@ -4,8 +4,13 @@
 import unittest
 
 from tests.support.byte_server import ByteServer
-from yuccavalve.adapters.exchange import HttpCall, async_exchange
+from yuccavalve.adapters.exchange import (
+    HttpAnswer,
+    HttpCall,
+    async_exchange,
+)
 from yuccavalve.exceptions import BackendLostError
+from yuccavalve.memory import HeldBytes
 
 _OK = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED = _OK + b'transfer-encoding: chunked\r\n\r\n'
@@ -32,6 +37,8 @@
 # What the caller may hold, and what the sockets buffer in between.
 _SENT_LIMIT_BYTES = 16000000
 _WAIT_S = 10
+_UNENDED_LIMIT_BYTES = 262144
+_SMALL_FIELDS_LIMIT_BYTES = 4096
 
 
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
@@ -73,3 +80,80 @@
             self.assertEqual(body, b'hello')
             answer.close()
             await self.server.caller_closed.wait()
+
+
+class _Transport:
+    """A transport that only records whether it was aborted."""
+
+    def __init__(self) -> None:
+        """Start open."""
+        self.is_aborted = False
+
+    def abort(self) -> None:
+        """End the connection."""
+        self.is_aborted = True
+
+    def is_closing(self) -> bool:
+        """Return whether the connection has ended."""
+        return self.is_aborted
+
+    def pause_reading(self) -> None:
+        """Do nothing."""
+
+    def resume_reading(self) -> None:
+        """Do nothing."""
+
+
+class HeldElementTest(unittest.TestCase):
+    """What the parser and the head of one answer may hold."""
+
+    def setUp(self) -> None:
+        """Connect an answer to an account."""
+        self.held = HeldBytes()
+        self.answer = HttpAnswer('GET', self.held)
+        self.transport = _Transport()
+        self.answer.connection_made(self.transport)
+
+    def _received_bytes(self, begin: bytes, repeated: bytes) -> int:
+        """Return how much is received before the connection is ended."""
+        self.answer.data_received(begin)
+        received_bytes = 0
+        while not self.transport.is_aborted:
+            self.answer.data_received(repeated)
+            received_bytes += len(repeated)
+            if received_bytes > _SENT_LIMIT_BYTES:
+                break
+        return received_bytes
+
+    def test_element_without_end_after_a_large_body_is_bounded(self) -> None:
+        """The bound grew by sixteen bytes for each byte of the body."""
+        body = b'100000\r\n%b\r\n' % (b'x' * 1048576)
+        for element in (b'0\r\nx-a: ', b'0\r\nx-a', b'5;x='):
+            with self.subTest(element=element):
+                self.setUp()
+                received_bytes = self._received_bytes(
+                    _CHUNKED + body + element, b'x' * 8192
+                )
+                self.assertLess(received_bytes, _UNENDED_LIMIT_BYTES)
+
+    def test_head_of_small_fields_is_bounded(self) -> None:
+        """Each field takes far more memory than the four bytes sent."""
+        received_bytes = self._received_bytes(_OK, b'a:\r\n' * 16)
+        self.assertLess(received_bytes, _SMALL_FIELDS_LIMIT_BYTES)
+
+    def test_head_counts_in_the_account(self) -> None:
+        """Heads of many answers together were counted nowhere."""
+        self.answer.data_received(
+            _OK + b'x-a: %b\r\nx-b: 1\r\n' % (b'x' * 8000)
+        )
+        self.assertGreater(self.held.held_bytes, 8000)
+        self.answer.close()
+        self.assertEqual(self.held.held_bytes, 0)
+
+    def test_interim_heads_are_not_added_up(self) -> None:
+        interim = b'HTTP/1.1 100 Continue\r\nx-a: %b\r\n\r\n' % (b'x' * 100)
+        self.answer.data_received(interim * 10)
+        self.answer.data_received(_OK + b'content-length: 0\r\n\r\n')
+        self.assertTrue(self.answer.complete)
+        self.answer.close()
+        self.assertEqual(self.held.held_bytes, 0)
--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -35,6 +35,12 @@
 # Bytes other than the body: heads, chunk sizes and extensions, trailers.
 _MAX_OVERHEAD_BYTES = 65536
 _MAX_OVERHEAD_PER_BODY_BYTE = 16
+# Bytes of an element without an end, such as a field; the parser holds them.
+# One read more may follow.
+_MAX_UNENDED_BYTES = 65536
+# Fields of a head, and what each takes in memory besides its bytes.
+_MAX_FIELDS = 256
+_FIELD_BYTES = 160
 _USER_TIMEOUT_MS = 5000
 _BODILESS_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
@@ -107,6 +113,8 @@
         self._buffered_bytes = 0
         self._received_bytes = 0
         self._body_bytes = 0
+        self._unended_bytes = 0
+        self._head_bytes = 0
         self._error = ''
         self._is_reset = False
         self._head_received = False
@@ -203,6 +211,7 @@
         if self.complete or self._error:
             return
         self._received_bytes += len(data)
+        self._unended_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
@@ -234,17 +243,24 @@
         What follows a complete answer, even in the same packet, belongs to
         no request.
         """
+        self._unended_bytes = 0
         if not self.complete:
+            self._count_head(-self._head_bytes)
             self.headers.clear()
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
         """Collect a header field; trailers are dropped."""
+        self._unended_bytes = 0
         if self._head_received:
             return
+        if len(self.headers) >= _MAX_FIELDS:
+            raise ValueError(f'more than {_MAX_FIELDS} header fields')
+        self._count_head(len(name) + len(value) + _FIELD_BYTES)
         self.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
         """Record the status and the framing of the body."""
+        self._unended_bytes = 0
         status = self._parser.get_status_code()
         if self.complete or status < _FIRST_FINAL_STATUS:
             return
@@ -255,6 +271,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
+        self._unended_bytes = 0
         if not self.complete:
             self._parts.append(body)
             self._buffered_bytes += len(body)
@@ -267,6 +284,11 @@
         if self._head_received:
             self.complete = True
 
+    def _count_head(self, size_bytes: int) -> None:
+        self._head_bytes += size_bytes
+        self._held_bytes += size_bytes
+        self._held.take(size_bytes)
+
     def _release(self, size_bytes: int) -> None:
         self._held_bytes -= size_bytes
         self._returned_bytes = 0
@@ -292,9 +314,14 @@
             _MAX_OVERHEAD_BYTES + self._body_bytes * _MAX_OVERHEAD_PER_BODY_BYTE
         )
         overhead_bytes = self._received_bytes - self._body_bytes
-        if overhead_bytes > limit_bytes and not self.complete:
+        if self.complete:
+            return
+        if overhead_bytes > limit_bytes:
             self._fail(f'{overhead_bytes} bytes besides the body')
             self.close()
+        elif self._unended_bytes > _MAX_UNENDED_BYTES:
+            self._fail(f'{self._unended_bytes} bytes without an end')
+            self.close()
 
     def _body_framing(self) -> BodyFraming:
         if self._method == 'HEAD' or self.status in _BODILESS_STATUSES:
