Show that an isolated planner takes members of a head it can't reach

A head engine that is cut off from the store and from the planner counts as stopped after 10 s if the planner can ask no other daemon.

--- a/tests/formation/test_takeovers.py
+++ b/tests/formation/test_takeovers.py
@@ -194,3 +194,25 @@
         for seed in range(_SEARCH_SEEDS):
             with self.subTest(seed=seed):
                 self.assertEqual(self._play(seed).violations[:2], [])
+
+
+class IsolatedPlannerTest(unittest.TestCase):
+    """A planner that reaches the store and no other daemon.
+
+    A head engine is cut off from the store and from the planner for 25 s, and
+    serves the other daemons.
+    """
+
+    def test_head_that_others_reach_keeps_its_members(self) -> None:
+        """It counts as stopped, as the planner can ask nobody."""
+        for seed in range(5):
+            model = DaemonFleetModel(Random(seed), service_profile((3,), (1,)))
+            model.add('d0', 8)
+            model.daemons = [ModelDaemon() for _ in range(3)]
+            model.run_daemons(12)
+            model.cut_daemon(model.holder, store=False, peers=True)
+            head = model.open_heads('m3')[0]
+            model.cut_engine(head.engine, 25, [model.holder])
+            model.run_daemons(24)
+            with self.subTest(seed=seed):
+                self.assertEqual(model.violations[:2], [])
