Read on after the last request of a connection, and parse nothing more

Change: nothing is parsed after such a request; what comes is discarded for a while, and the answer closes the connection.

--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -173,6 +173,32 @@
         bodies = await self._async_answers(head + rest, 2, len(head))
         self.assertEqual(bodies, [b'/early ', b'/b '])
 
+    async def _async_read_to_end(self, *parts: bytes) -> bytes:
+        """Send parts after each other; return all up to the end."""
+        host, port = self.server.address.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0.01)
+        async with asyncio.timeout(_TIMEOUT_S):
+            return await reader.read()
+
+    async def test_last_answer_is_read_whatever_follows_its_request(
+        self,
+    ) -> None:
+        """Unread bytes reset the connection, and the answer was lost."""
+        more = b'GET /b HTTP/1.1\r\n\r\n' * 2000
+        for fields in (
+            b'connection: close\r\n',
+            b'connection: upgrade\r\nupgrade: h2c\r\n',
+        ):
+            head = b'GET /a HTTP/1.1\r\n%b\r\n' % fields
+            for parts in ((head + more,), (head, more)):
+                with self.subTest(fields=fields, parts=len(parts)):
+                    answer = await self._async_read_to_end(*parts)
+                    self.assertTrue(answer.endswith(b'\r\n\r\n/a '), answer)
+
     async def test_everything_is_given_back(self) -> None:
         await self._async_answers(b'GET /b HTTP/1.1\r\n\r\n' * 200, 200)
         host, port = self.server.address.split(':')
--- a/yuccavalve/caller_connection.py
+++ b/yuccavalve/caller_connection.py
@@ -123,7 +123,19 @@
             super().resume_reading()
 
 
-class CallerConnection(HttpToolsProtocol, asyncio.BufferedProtocol):
+class _SharedBufferProtocol(asyncio.BufferedProtocol):
+    """A protocol that reads no more at once than one buffer holds."""
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where received bytes are written."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
+
+class CallerConnection(HttpToolsProtocol, _SharedBufferProtocol):
     """The library's protocol with bounds, and with readable refusals.
 
     Attributes
@@ -150,7 +162,8 @@
         self._unparsed = b''
         self._unended_bytes = 0
         self._discarded_bytes = 0
-        self._is_refused = False
+        self._ignores_input = False
+        self._may_send_on = False
         self._shuts_down = False
 
     @property
@@ -185,18 +198,10 @@
         self._received.leave(self)
         super().connection_lost(exc)
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return where received bytes are written."""
-        return _READ_BUFFER
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Take received bytes."""
-        self.data_received(bytes(_READ_BUFFER[:nbytes]))
-
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse what was received; discard it after a refusal."""
         self.active_at_s = time.monotonic()
-        if self._is_refused:
+        if self._ignores_input:
             self._discard(len(data))
             return
         if not self.unfinished_bytes:
@@ -275,6 +280,8 @@
         self._receiving.is_in_body = False
         self._receiving.is_whole = True
         super().on_message_complete()
+        if not self.cycle.keep_alive:
+            self._ignore_input()
 
     def on_response_complete(self) -> None:
         """Release the request, and go on with those that were sent ahead."""
@@ -293,12 +300,17 @@
         A connection with an answer in progress is aborted.
         """
         if self.cycle is not None and not self.cycle.response_complete:
-            self._is_refused = True
-            self._forget_all()
+            self._ignores_input = True
             self.transport.abort()
             return
         self._refuse(ResultCode.HEADER_INVALID, msg)
 
+    def _unsupported_upgrade_warning(self) -> None:
+        """Answer in HTTP/1.1, and parse nothing after the request."""
+        self.cycle.keep_alive = False
+        self._may_send_on = True
+        self._ignore_input()
+
     def _refuse(
         self, code: ResultCode, text: str, *, is_shed: bool = False
     ) -> None:
@@ -308,7 +320,7 @@
         connection with unread bytes resets it, and the caller would lose the
         answer.
         """
-        self._is_refused = True
+        self._ignores_input = True
         cycle = self._messages[0].cycle if self._messages else None
         self._forget_all()
         if self.transport.is_closing():
@@ -330,14 +342,13 @@
         self._forget_all()
         self._messages.append(running)
         self.pipeline.clear()
-        self._is_refused = True
+        self._ignore_input()
         if running.cycle is not None:
             running.cycle.keep_alive = False
 
     def _forget_all(self) -> None:
         """Drop what is held and not being answered."""
-        self._received.add(-len(self._unparsed))
-        self._unparsed = b''
+        self._drop_unparsed()
         self._clear_unended()
         while self._messages:
             self._release(self._messages.popleft())
@@ -345,17 +356,26 @@
         self.headers = []
         self.scope = None
 
+    def _ignore_input(self) -> None:
+        self._ignores_input = True
+        self._drop_unparsed()
+
+    def _drop_unparsed(self) -> None:
+        self._may_send_on = self._may_send_on or bool(self._unparsed)
+        self._received.add(-len(self._unparsed))
+        self._unparsed = b''
+
     def _release(self, message: _Message) -> None:
         message.is_released = True
         self._received.add(-message.size_bytes)
 
     def _parse(self) -> None:
         """Parse on, up to one piece of what follows the present request."""
-        while self._unparsed and not self.pipeline and not self._is_refused:
+        while self._unparsed and not self.pipeline and not self._ignores_input:
             if self.transport.is_closing():
-                self._forget_all()
+                self._drop_unparsed()
                 break
-            size_bytes = self._piece_bytes()
+            size_bytes = _piece_bytes(self._receiving)
             piece = self._unparsed[:size_bytes]
             self._unparsed = self._unparsed[size_bytes:]
             # From here on the parser holds them.
@@ -368,32 +388,31 @@
         elif self._shuts_down and not self._unparsed:
             HttpToolsProtocol.shutdown(self)
 
-    def _piece_bytes(self) -> int:
-        if self._receiving.body_left_bytes > 0:
-            return self._receiving.body_left_bytes
-        if self._receiving.is_in_body:
-            return _CHUNKED_PIECE_BYTES
-        return _HEAD_PIECE_BYTES
-
     def _has_room(self) -> bool:
         return len(self._unparsed) <= _MAX_UNPARSED_BYTES
 
     def _close_after(self, cycle: RequestResponseCycle) -> None:
         """Close the connection after an answer that ends it.
 
-        If the body of its request is still on the way, the rest is read for a
-        while: unread bytes would reset the connection, and the caller would
-        lose the answer.
+        If the body of its request or more is still on the way, the rest is
+        read for a while: unread bytes would reset the connection, and the
+        caller would lose the answer.
         """
-        if not cycle.more_body or not cycle.response_complete:
+        if not cycle.response_complete:
+            self.transport.close()
+            return
+        if not (cycle.more_body or self._may_send_on):
             self.transport.close()
             return
-        self._is_refused = True
+        self._ignore_input()
         self._forget_all()
         self.transport.write_eof()
-        self.loop.call_later(_BODY_LINGER_S, self.transport.close)
+        self.flow.resume_reading()
+        linger_s = _BODY_LINGER_S if cycle.more_body else _LINGER_S
+        self.loop.call_later(linger_s, self.transport.close)
 
     def _discard(self, size_bytes: int) -> None:
+        self._may_send_on = True
         self._discarded_bytes += size_bytes
         if self._discarded_bytes <= _MAX_DISCARDED_BYTES:
             return
@@ -420,6 +439,13 @@
         self._unended_bytes = 0
 
 
+def _piece_bytes(receiving: _Message) -> int:
+    """Return how much may be parsed at once."""
+    if receiving.body_left_bytes > 0:
+        return receiving.body_left_bytes
+    return _CHUNKED_PIECE_BYTES if receiving.is_in_body else _HEAD_PIECE_BYTES
+
+
 def _body_length(headers: list[tuple[bytes, bytes]]) -> int:
     """Return the length of a body; 0 if its head does not tell it."""
     fields = dict(headers)
