Keep ordinary requests while whole ones fill the account

Callers would see: while large requests that run fill the account, a short request that arrives in two packets is refused.

Cause: those that hold little were shed last, but they were the only ones left that are not whole.

Change: connections with up to 32 KB of unfinished requests are shed only at twice the bound, for which they have to be too many by themselves.

Measured: test_ordinary_request_is_kept_beside_whole_ones fails before; the tests of hostile callers pass.

--- a/tests/memory/test_received.py
+++ b/tests/memory/test_received.py
@@ -71,6 +71,19 @@
         self.assertFalse(whole.is_shed)
         self.assertTrue(arriving.is_shed)
 
+    def test_ordinary_request_is_kept_beside_whole_ones(self) -> None:
+        """It was refused while large requests that run filled the account."""
+        self.account.add(12 * _MB)
+        ordinary = self._connect(ORDINARY_BYTES, unfinished_since_s=0)
+        self.account.make_room()
+        self.assertFalse(ordinary.is_shed)
+
+    def test_ordinary_requests_alone_have_a_bound(self) -> None:
+        self.account.add(20 * _MB)
+        old = self._connect(ORDINARY_BYTES, unfinished_since_s=0)
+        self.account.make_room()
+        self.assertTrue(old.is_shed)
+
     def test_silent_connections_make_way_for_new_ones(self) -> None:
         busy = self._connect(is_busy=True, active_at_s=1)
         kept = self._connect(has_sent=True, active_at_s=2)
--- a/yuccavalve/memory/received.py
+++ b/yuccavalve/memory/received.py
@@ -5,7 +5,7 @@
 it. When the account is full, connections are shed that hold most for longest
 of requests that are not whole yet, or that were sent ahead of an answer.
 Whole requests are kept, and so are connections that hold no more than an
-ordinary request, unless all do.
+ordinary request, unless these alone are too many.
 """
 
 import math
@@ -19,8 +19,10 @@
 
 __all__ = ('ORDINARY_BYTES', 'ReceivedBytes', 'Sender', 'new_received_bytes')
 
-# A connection that holds no more than this is shed after all others.
+# A connection that holds no more than this of unfinished requests is kept up to
+# this multiple of the bound, also while whole requests fill the account.
 ORDINARY_BYTES: Final = 32768
+_ORDINARY_LIMIT_FACTOR: Final = 2
 # Fraction of a bound down to which is shed at once, as looking for what to
 # shed takes time with each connection.
 _SHED_FRACTION: Final = 0.875
@@ -127,12 +129,24 @@
         """Shed connections if the account is full."""
         if self.held_bytes <= self.limit_bytes:
             return
+        large, ordinary = [], []
+        for sender in self._senders:
+            size_bytes = sender.unfinished_bytes
+            if size_bytes:
+                is_large = size_bytes > ORDINARY_BYTES
+                (large if is_large else ordinary).append(sender)
+        self._shed_down_to(self.limit_bytes, large)
+        ordinary_limit_bytes = self.limit_bytes * _ORDINARY_LIMIT_FACTOR
+        if self.held_bytes > ordinary_limit_bytes:
+            self._shed_down_to(ordinary_limit_bytes, ordinary)
+
+    def _shed_down_to(self, limit_bytes: float, senders: list[Sender]) -> None:
+        """Shed the connections that burden most, until there is room."""
         now_s = self.now_s()
-        unfinished = [each for each in self._senders if each.unfinished_bytes]
-        unfinished.sort(key=lambda each: _burden(each, now_s), reverse=True)
-        surplus_bytes = self.held_bytes - self.limit_bytes * _SHED_FRACTION
+        senders.sort(key=lambda each: _burden(each, now_s), reverse=True)
+        surplus_bytes = self.held_bytes - limit_bytes * _SHED_FRACTION
         chosen = []
-        for sender in unfinished:
+        for sender in senders:
             if surplus_bytes <= 0:
                 break
             surplus_bytes -= sender.unfinished_bytes
@@ -176,8 +190,6 @@
     return ReceivedBytes(limit_bytes, max_connections(allowed_descriptors))
 
 
-def _burden(sender: Sender, now_s: float) -> tuple[bool, float]:
-    """Return by how much a connection that is unfinished burdens the others."""
-    size_bytes = sender.unfinished_bytes
-    age_s = now_s - sender.unfinished_since_s
-    return size_bytes > ORDINARY_BYTES, size_bytes * age_s
+def _burden(sender: Sender, now_s: float) -> float:
+    """Return what a connection holds, times for how long, in byte seconds."""
+    return sender.unfinished_bytes * (now_s - sender.unfinished_since_s)
