--- a/tests/support/daemon_model.py
+++ b/tests/support/daemon_model.py
@@ -52,10 +52,19 @@
 
     Attributes
     ----------
-    is_cut_from_store, is_isolated
-        Whether it reaches neither the store nor any other daemon.
+    is_cut_from_store
+        Whether it doesn't reach the store.
+    is_isolated
+        Whether it doesn't reach any other daemon.
     cut_engines
         Engines that it doesn't reach.
+    cut_at_s
+        Time at which it was last cut off from the store or other daemons.
+    read_at_s
+        Time at which it last read the list of engines.
+    silent_since_s, dead_until_s
+        Since when engines have not answered it, and until when it counts them
+        as dead.
     """
 
     view: FleetView = attrs.field(factory=FleetView)
--- a/yuccavalve/caller_connection.py
+++ b/yuccavalve/caller_connection.py
@@ -71,11 +71,15 @@
     Attributes
     ----------
     size_bytes
-        What it counts for in the account.
+        What it counts for in the account while it is not released.
     header_bytes
         Size of its header block, with trailers.
     body_left_bytes
         What is left of a body whose length is known.
+    is_in_body
+        Whether its head was received, but not the end of its body.
+    is_whole
+        Whether the end of its body was received.
     is_released
         Whether it is no longer counted, although its body may go on.
     """
@@ -378,7 +382,7 @@
             size_bytes = _piece_bytes(self._receiving)
             piece = self._unparsed[:size_bytes]
             self._unparsed = self._unparsed[size_bytes:]
-            # From here on the parser holds them.
+            # The parser holds it until the element that it is part of ends.
             self._unended_bytes += len(piece)
             HttpToolsProtocol.data_received(self, piece)
             if self._unended_bytes > _MAX_UNENDED_BYTES:
