--- /dev/null
+++ b/review/harness_2/__init__.py
@@ -0,0 +1,1 @@
+"""Shared code of the review's script cases."""
