--- a/review/harness_2/deployment.py
+++ b/review/harness_2/deployment.py
@@ -41,6 +41,7 @@
 _HELD = 0
 _BROKEN = 1
 _NOT_RUN = 2
+_drawn: set[str] = set()
 
 
 def has_trouble() -> bool:
@@ -63,6 +64,15 @@
     """A case did not reach the state that it begins with."""
 
 
+def _new_address() -> str:
+    """Return a free local address that was not drawn before."""
+    address = free_address()
+    while address in _drawn:
+        address = free_address()
+    _drawn.add(address)
+    return address
+
+
 class Record:
     """What was sent, answered and run, with the time since the start."""
 
@@ -86,8 +96,8 @@
         self, name: str, store_address: str, folder: Path, fields: dict[str, str]
     ) -> None:
         self.name = name
-        self.address = free_address()
-        self.ready_address = free_address()
+        self.address = _new_address()
+        self.ready_address = _new_address()
         self.settings_file = folder / f'{name}.toml'
         self.log_file = folder / f'{name}.log'
         self.process: subprocess.Popen[bytes] | None = None
@@ -98,8 +108,8 @@
                     'listen.front': self.address,
                     'listen.ready': self.ready_address,
                     'listen.directory': _ANY_PORT,
-                    'internal_ports.0': free_address().rpartition(':')[2],
-                    'internal_ports.1': free_address().rpartition(':')[2],
+                    'internal_ports.0': _new_address().rpartition(':')[2],
+                    'internal_ports.1': _new_address().rpartition(':')[2],
                     'platform.address': store_address,
                     'bounds.retry_budget_extra': '132',
                     **fields,
