Keep engines' later state when the store returns from a copy

A copy some seconds old lacks the entries of engines that started since and shows others in an earlier state, until each has written its entry again with its next heartbeat.

Change: in a new era the view keeps what it knew. A missing entry gets the time in which engines are listed again; one whose number (`seq`) is below that of before the return is left unread, for 42.5 s at most; draining and withdrawn starts stay so. The planner takes no step until engines have written their entries, 2.5 s.

Cost: replicas that fail within 2.5 s of a return are repaired later by that time.

--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -132,6 +132,9 @@
         if self.node.view.as_of_s < self.lease.tenure_began_at_s:
             # The last planner may have opened replicas since.
             return
+        if self.node.clock.now_s() < self.node.view.relisted_at_s:
+            # Records of the copy may show members as free.
+            return
         if self._term != term:
             self._term = term
             self._planners.clear()
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -50,6 +50,9 @@
         unseen, as the feed was read often enough.
     revision
         Revision of this view, which grows with each change.
+    relisted_at_s
+        Monotonic time from which the records are those that engines have
+        written since the store last returned from a copy.
     unlisted
         Records of engines that were removed recently and may still run. They
         get no new requests, but their replicas may serve on.
@@ -71,6 +74,7 @@
     as_of_s: float = _NEVER_S
     followed_since_s: float = _NEVER_S
     revision: int = 0
+    relisted_at_s: float = _NEVER_S
     unlisted: dict[str, EngineRecord] = attrs.field(factory=dict)
     withdrawn: set[str] = attrs.field(factory=set)
     leaving_at_s: dict[str, float] = attrs.field(factory=dict)
@@ -84,6 +88,7 @@
     _warm_at_s: dict[str, float] = attrs.field(factory=dict)
     _outage_until_s: float = _NEVER_S
     _leaving_born_ms: dict[str, int] = attrs.field(factory=dict)
+    _before_return: dict[str, EngineRecord] = attrs.field(factory=dict)
     _routable: dict[str, tuple[EngineRecord, ...]] = attrs.field(factory=dict)
     _routable_version: int = -1
 
@@ -119,7 +124,7 @@
         """
         if engine_changes.era < self.era:
             return
-        self.era = engine_changes.era
+        self._record_era(engine_changes, now_s)
         self.version = engine_changes.version
         self.as_of_s = now_s if began_at_s is None else began_at_s
         self._record_read(now_s)
@@ -161,7 +166,7 @@
         """
         if engine_changes.position < self.position:
             return False
-        self.era = engine_changes.era
+        self._record_era(engine_changes, read_at_s)
         self.version = engine_changes.version
         self._record_read(read_at_s)
         for engine, record in engine_changes.records.items():
@@ -175,6 +180,41 @@
                 self._remove(missing, MIN_EXPIRY_SILENCE_S)
         return True
 
+    def _record_era(self, engine_changes: EngineChanges, now_s: float) -> None:
+        """Keep what the copy lacks once the store has returned from one.
+
+        Engines write their records again with their next heartbeat. Until
+        then the copy may lack them, or show an earlier state: of an engine that
+        has begun to drain or has left since, or is in another replica.
+        """
+        is_return = self.version > 0 and engine_changes.era > self.era
+        self.era = engine_changes.era
+        if not is_return:
+            return
+        self.record_outage(now_s)
+        self.relisted_at_s = self._outage_until_s
+        self.followed_since_s = now_s
+        # A record that is missing from the copy was not withdrawn.
+        self._renewed_at_s.clear()
+        known = (*self._records.values(), *self.unlisted.values())
+        self._before_return = {record.engine: record for record in known}
+        self._leaving_born_ms.update(
+            (record.engine, record.born_ms)
+            for record in known
+            if record.draining or record.engine in self.withdrawn
+        )
+
+    def _is_from_copy(self, record: EngineRecord) -> bool:
+        """Return whether a record is older than one of before the return."""
+        known = self._before_return.get(record.engine)
+        if known is None:
+            return False
+        if known.born_ms == record.born_ms and record.sequence:
+            if record.sequence < known.sequence:
+                return True
+        self._before_return.pop(record.engine)
+        return False
+
     def _record_read(self, read_at_s: float) -> None:
         if read_at_s - self.read_at_s > MAX_READ_GAP_S:
             self.followed_since_s = read_at_s
@@ -309,6 +349,9 @@
             return
         if current is not None and record.born_ms < current.born_ms:
             return
+        if self._is_from_copy(record):
+            self._missing_since_s.pop(engine, None)
+            return
         self.on_record(record, now_s, self._is_start(record))
         self._warm_at_s.pop(engine, None)
         if record.warmup_left_s > 0:
@@ -375,6 +418,8 @@
         for leaving in self.leaving_at_s.keys() - self._records.keys():
             if leaving not in self.unlisted:
                 self.leaving_at_s.pop(leaving)
+        if now_s > self.relisted_at_s + UNLISTED_RETENTION_S:
+            self._before_return.clear()
         settled = self.is_settled(now_s)
         for engine, since_s in list(self._missing_since_s.items()):
             silent_s = since_s - self._renewed_at_s.get(engine, _NEVER_S)
