Write a daemon's row again when the store returns from a copy

The row of a daemon that had started in the lost seconds was missing for good: it is written once, at the start, so daemons that started later never listed it to callers.

Change: in a new era each daemon writes its row again, after a random time of up to 0.02 s for each known daemon (0.5 s at least), so that hundreds of daemons stay within the store's rates: 380 daemons write over 7.6 s, 50 a second.

test_replicas_serve_on_and_rows_are_written_again failed on (rows were not there after 2 s) and passes.

--- a/tests/platform/test_store_return.py
+++ b/tests/platform/test_store_return.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tests.platform import builders
-from tests.platform.evacuation_fleet import EvacuationFleet
+from tests.platform.evacuation_fleet import TARGET_S, EvacuationFleet
 from tests.platform.standin import StoreCopy
 from tests.platform.support import async_until
 
@@ -110,3 +110,21 @@
 
     def _routing_versions(self) -> set[int]:
         return {each.node.routing.version for each in self.daemons}
+
+    async def test_replicas_serve_on_and_rows_are_written_again(self) -> None:
+        """Engines and daemons that the copy lacks stay known."""
+        copy = self.fleet.store.take_copy()
+        copy.rows.clear()
+        epochs = self.epochs()
+        await self._async_return(copy)
+        await self.fleet.async_configure(builders.configuration())
+        for _ in range(30):
+            answers = await self.async_send()
+            self.assertEqual({each.status for each in answers}, {_OK})
+            await asyncio.sleep(0.1)
+        self.assertEqual(self.epochs(), epochs)
+        await async_until(
+            lambda: len(self.fleet.store.keys('member')) == 3,
+            'all daemons have written their rows again',
+            TARGET_S,
+        )
--- a/yuccavalve/daemon/gateway_peers.py
+++ b/yuccavalve/daemon/gateway_peers.py
@@ -30,6 +30,10 @@
 _FIRST_INTERVALS_S = (0.4, 1.5)
 _ALONE_INTERVAL_S = 2.0
 _INTERVAL_S = 60.0
+# Time over which a daemon's row is written again after the table service has
+# returned from a copy, for each known daemon, and for few of them.
+_REWRITE_SPREAD_PER_DAEMON_S = 0.02
+_REWRITE_MIN_SPREAD_S = 0.5
 
 
 @attrs.define
@@ -234,6 +238,11 @@
 
     node: GatewayNode
     registered: bool = False
+    _rewrite_at_s: float = float('inf')
+
+    def __attrs_post_init__(self) -> None:
+        """Have the row written again in a new era."""
+        self.node.on_era(self._handle_era)
 
     async def async_run(self) -> None:
         """Register this daemon, then scan for others until cancelled."""
@@ -258,13 +267,47 @@
         await self.node.ports.table.async_transact(Transaction((), (write,)))
 
     async def _async_round(self) -> None:
-        table = self.node.ports.table
-        local_member = self.node.roster.local_member
         if not self.registered:
-            write = Write(self._key(), attrs.asdict(local_member))
-            await table.async_transact(Transaction((), (write,)))
+            await self._async_write()
             self.registered = True
-        rows = await table.async_scan(MEMBER_PREFIX)
+        await self._async_scan()
+
+    def _handle_era(self, era: int) -> None:
+        """Write the row again soon: the copy may lack it.
+
+        Daemons learn of an era at about the same time, so each waits for a
+        random time.
+        """
+        if not self.registered:
+            return
+        spread_s = max(
+            _REWRITE_MIN_SPREAD_S,
+            self.node.known_daemons() * _REWRITE_SPREAD_PER_DAEMON_S,
+        )
+        wait_s = self.node.random.uniform(0, spread_s)
+        self._rewrite_at_s = self.node.clock.now_s() + wait_s
+
+    async def _async_rewrite(self) -> None:
+        """Write the row again if that is due."""
+        node = self.node
+        if node.clock.now_s() < self._rewrite_at_s:
+            return
+        self._rewrite_at_s = float('inf')
+        if node.gateway.stop.stopping:
+            return
+        try:
+            await self._async_write()
+        except StoreUnavailableError as error:
+            logging.info('event=member_unwritten cause=%r', str(error))
+            self._handle_era(node.ports.eras.era)
+
+    async def _async_write(self) -> None:
+        member = attrs.asdict(self.node.roster.local_member)
+        write = Write(self._key(), member)
+        await self.node.ports.table.async_transact(Transaction((), (write,)))
+
+    async def _async_scan(self) -> None:
+        rows = await self.node.ports.table.async_scan(MEMBER_PREFIX)
         members = decode_members(rows, self.node.ports.unreadable)
         self.node.roster.learn_all(members)
         if not self.node.member_rows_read:
@@ -294,6 +337,7 @@
         while clock.now_s() < until_s:
             remaining_s = until_s - clock.now_s()
             await asyncio.sleep(min(_ALONE_INTERVAL_S, remaining_s))
+            await self._async_rewrite()
             if self.node.share_state.unknown_daemons:
                 self.node.share_state.unknown_daemons = False
                 return
