End leases with the era of the store

After a return from a copy the lease row could name a holder that another one had replaced in the lost seconds, or nobody. The earlier holder found its name, renewed and planned beside the last one until that one's time had run out; a condition could hold by chance, since versions are given out again.

Change: a new era ends every lease. Its last holder may acquire it anew at once, in a new term, since nobody else can have held it; any other member waits until any lease of the old era has run out, whatever the row says and whoever yielded. Yields name the era of the lease. A daemon that starts on a store that has returned before waits as well.

test_holder_that_yields_or_is_replaced_loses_the_lease now compares positions instead of versions, and checks another era too.

--- a/tests/peers/test_sharing.py
+++ b/tests/peers/test_sharing.py
@@ -15,6 +15,7 @@
     STALL_FIRST_S,
 )
 from yuccavalve.peers.generated import peer_pb2
+from yuccavalve.ports.position import Position
 
 _KEY = 'i-1/0/1'
 _KEY_HASH = engine_key_hash(_KEY)
@@ -226,14 +227,17 @@
         self.assertEqual(self.follower.strikes(), {_KEY_HASH: 1})
 
     def test_holder_that_yields_or_is_replaced_loses_the_lease(self) -> None:
-        self.follower.yielded_lease = 7
+        self.follower.yielded_lease = Position(2, 7)
         self._follow()
         self._exchange()
         name = self.follower.roster.local_member.member
         for share_state in (self.hub, self.far):
-            self.assertTrue(share_state.has_yielded(name, 7))
-            self.assertFalse(share_state.has_yielded(name, 8))
-            self.assertTrue(share_state.has_yielded('follower-earlier', 8))
+            self.assertTrue(share_state.has_yielded(name, Position(2, 7)))
+            for other in (Position(2, 8), Position(3, 7)):
+                self.assertFalse(share_state.has_yielded(name, other))
+                self.assertTrue(
+                    share_state.has_yielded('follower-earlier', other)
+                )
 
     def test_uninformed_daemons_are_known(self) -> None:
         self.hub.informed = True
--- a/tests/platform/test_store_return.py
+++ b/tests/platform/test_store_return.py
@@ -1,17 +1,20 @@
 """A store that returns from a copy and lacks what was written since."""
 
 import asyncio
+from collections.abc import Awaitable
 
 from tests.platform import builders
 from tests.platform.evacuation_fleet import TARGET_S, EvacuationFleet
 from tests.platform.standin import StoreCopy
-from tests.platform.support import async_until
+from tests.platform.support import DaemonRun, async_until
 
 _ZONE = 'zone-b'
 _ROW = f'evacuate/{_ZONE}'
 # Heartbeats write far more versions meanwhile than in the bound of a test.
 _COPY_AGE_S = 6.0
 _AWAY_S = 0.5
+# Longer than the duration of the planner lease and its margin.
+_LEASE_S = 4.0
 _OK = 200
 
 
@@ -30,6 +33,20 @@
         await asyncio.sleep(_COPY_AGE_S)
         return copy
 
+    def _plans(self) -> list[DaemonRun]:
+        return [each for each in self.daemons if each.node.share_state.plans]
+
+    async def _async_watch(self, action: Awaitable[None]) -> int:
+        """Return the largest number of planners at a time meanwhile."""
+        task = asyncio.ensure_future(action)
+        most = 0
+        while not task.done():
+            held = [each.daemon._lease_loop.is_held() for each in self.daemons]
+            most = max(most, sum(held))
+            await asyncio.sleep(0.005)
+        await task
+        return most
+
     async def test_zone_is_evacuated_after_a_return(self) -> None:
         """Evacuations had no effect until versions had caught up."""
         await self._async_return(await self._async_age())
@@ -111,6 +128,27 @@
     def _routing_versions(self) -> set[int]:
         return {each.node.routing.version for each in self.daemons}
 
+    async def test_earlier_planner_waits_for_the_last_one(self) -> None:
+        """The lease row of the copy named a planner that another replaced."""
+        earlier = self._plans()[0]
+        copy = await self._async_age()
+        link = self.links[self.daemons.index(earlier)]
+        link.block()
+        await async_until(
+            lambda: self._plans() and self._plans() != [earlier],
+            'another daemon plans',
+        )
+        link.unblock()
+        await asyncio.sleep(1)
+
+        async def async_return() -> None:
+            self.fleet.return_store_from(copy)
+            await asyncio.sleep(_LEASE_S)
+
+        self.assertEqual(await self._async_watch(async_return()), 1)
+        self.assertEqual(len(self._plans()), 1)
+        self.assertEqual(self.fleet.violations, [])
+
     async def test_replicas_serve_on_and_rows_are_written_again(self) -> None:
         """Engines and daemons that the copy lacks stay known."""
         copy = self.fleet.store.take_copy()
--- a/yuccavalve/daemon/lease_loop.py
+++ b/yuccavalve/daemon/lease_loop.py
@@ -13,6 +13,7 @@
 from yuccavalve.membership import contention_wait_s
 from yuccavalve.membership.const import DUTY_PLANNER
 from yuccavalve.membership.lease import Lease, LeaseStep
+from yuccavalve.ports.position import NOWHERE
 from yuccavalve.timing import jittered
 
 __all__ = ('LeaseLoop',)
@@ -64,6 +65,11 @@
             _LEASE_MARGIN_S,
         )
 
+    def __attrs_post_init__(self) -> None:
+        """Have the lease end with its era."""
+        self.lease.era = self.node.ports.eras.era
+        self.node.on_era(self._begin_era)
+
     def is_held(self) -> bool:
         """Return whether this daemon holds the planner lease."""
         return self.lease.is_held(self.node.clock.now_s())
@@ -92,6 +98,14 @@
             self.node.record_planning(self.is_held())
             await asyncio.sleep(jittered(self.node.random, _LEASE_POLL_S))
 
+    def _begin_era(self, era: int) -> None:
+        """Contend anew, unless the table service has never returned."""
+        self.node.share_state.yielded_lease = NOWHERE
+        if self.node.ports.eras.is_first:
+            self.lease.era = era
+        else:
+            self.lease.begin_era(era, self.node.clock.now_s())
+
     def _record_tenure(self) -> None:
         term = self.term()
         if term != self._tenure_term:
@@ -111,7 +125,7 @@
             self.node.share_state.yielded_lease = self.lease.forfeit()
             logging.warning(
                 'event=lease_yielded version=%d',
-                self.node.share_state.yielded_lease,
+                self.node.share_state.yielded_lease.version,
             )
 
     def _yield_if_partitioned(self) -> None:
@@ -125,7 +139,7 @@
         node.urgent_update.set()
         logging.warning(
             'event=lease_yielded version=%d cause=%r',
-            node.share_state.yielded_lease,
+            node.share_state.yielded_lease.version,
             'reaches no engine',
         )
 
@@ -142,7 +156,8 @@
         planner = node.share_state.planner()
         now_s = node.clock.now_s()
         self._record_planner(planner, now_s)
-        if node.gateway.stop.stopping or (planner and not self.is_held()):
+        is_candidate = self.is_held() or self.lease.may_reclaim(now_s)
+        if node.gateway.stop.stopping or (planner and not is_candidate):
             return
         if node.routing.table is None or not self._may_contend(now_s):
             return
@@ -172,7 +187,9 @@
         yielded, their turns begin at once: it could not reach the store, so
         its hub may not reach it either.
         """
-        if self.is_held() or self.node.serves_as_hub():
+        if self.is_held() or self.lease.may_reclaim(now_s):
+            return True
+        if self.node.serves_as_hub():
             return True
         since_s = self._planner_seen_at_s + _NON_HUB_WAIT_S
         if self.node.share_state.yielded_leases():
@@ -186,7 +203,7 @@
         node = self.node
         if planner:
             self._planner_seen_at_s = now_s
-            node.share_state.yielded_lease = 0
+            node.share_state.yielded_lease = NOWHERE
         if planner or not node.share_state.yielded_leases():
             self._yielded_seen_at_s = now_s
 
--- a/yuccavalve/membership/lease.py
+++ b/yuccavalve/membership/lease.py
@@ -9,6 +9,11 @@
 the version of its row, or the number after the one that the row says it is
 above, if that is higher; so it can be raised by a holder that meets a higher
 one, and later terms are above it too.
+
+Once the table service has returned from a copy, the rows may name an earlier
+holder or none, and the last one may not have noticed yet. Every lease ends with
+its era, and nobody but its last holder acquires one of the new era before that
+of the old one has run out.
 """
 
 import enum
@@ -24,6 +29,7 @@
     TERM_KEY,
 )
 from yuccavalve.ports import Condition, Row, Transaction, Write, row_version
+from yuccavalve.ports.position import NOWHERE, Position
 
 __all__ = ('Lease', 'LeaseStep')
 
@@ -48,6 +54,8 @@
         Condition of transactions under the lease; None while not held.
     term
         Number of the term that the row shows.
+    era
+        Era of the table service to which the rows belong.
     """
 
     duty: str
@@ -57,10 +65,14 @@
     held_until_s: float = _NEVER_S
     term_condition: Condition | None = None
     term: int = 0
+    era: int = 0
     _above: int = 0
     _row: Row | None = None
     _term_row: Row | None = None
     _seen_at_s: float = _NEVER_S
+    _reclaim_until_s: float = _NEVER_S
+    _settled_at_s: float = _NEVER_S
+    _is_written_in_era: bool = True
 
     @property
     def key(self) -> str:
@@ -86,6 +98,23 @@
             self.term_condition = None
             self.held_until_s = _NEVER_S
 
+    def begin_era(self, era: int, now_s: float) -> None:
+        """End the lease; contend anew once that of any member has run out.
+
+        Nobody else can have held it while this member did, so this one need
+        not wait.
+        """
+        self._reclaim_until_s = self.held_until_s
+        self.forfeit()
+        self._term_row = None
+        self.era = era
+        self._is_written_in_era = False
+        self._settled_at_s = now_s + self.duration_s + self.margin_s
+
+    def may_reclaim(self, now_s: float) -> bool:
+        """Return whether this member held the lease when its era ended."""
+        return now_s < self._reclaim_until_s
+
     def raise_above(self, term: int) -> bool:
         """Let terms begin above this one; a holder begins a new one now.
 
@@ -116,8 +145,12 @@
         yielded
             Whether the holder is known to have yielded the lease.
         """
+        if self.may_reclaim(now_s):
+            return LeaseStep.ACQUIRE
+        if now_s < self._settled_at_s:
+            return LeaseStep.WAIT
         if self.is_holder():
-            if 0 < self.term <= self._above:
+            if 0 < self.term <= self._above or not self._is_written_in_era:
                 return LeaseStep.ACQUIRE
             renew_at_s = self.held_until_s - self.duration_s / 2
             return LeaseStep.RENEW if now_s >= renew_at_s else LeaseStep.WAIT
@@ -137,7 +170,7 @@
                 Condition(self.term_key, row_version(self._term_row))
             )
             writes.append(Write(self.term_key, self._new_term_fields()))
-        return Transaction(tuple(conditions), tuple(writes))
+        return Transaction(tuple(conditions), tuple(writes), self.era)
 
     def record_applied(
         self,
@@ -156,6 +189,9 @@
             rows need not be read again.
         """
         self.held_until_s = sent_at_s + self.duration_s
+        self._reclaim_until_s = _NEVER_S
+        self._settled_at_s = _NEVER_S
+        self._is_written_in_era = True
         if version is None:
             return
         self._row = Row(self.key, version, {'holder': self.member})
@@ -165,23 +201,24 @@
                 Row(self.term_key, version, self._new_term_fields())
             )
 
-    def holder(self) -> tuple[str, int]:
-        """Return the holder and version of the row, as last read.
+    def holder(self) -> tuple[str, Position]:
+        """Return the holder and position of the row, as last read.
 
         A row of another form has no holder; it is taken over once it has not
         changed for the lease's duration.
         """
         if self._row is None:
-            return '', 0
-        return str(self._row.fields.get('holder', '')), self._row.version
+            return '', NOWHERE
+        holder = str(self._row.fields.get('holder', ''))
+        return holder, Position(self.era, self._row.version)
 
-    def forfeit(self) -> int:
-        """Stop acting under the lease; return the version of its row."""
+    def forfeit(self) -> Position:
+        """Stop acting under the lease; return the position of its row."""
         self.held_until_s = _NEVER_S
         self.term_condition = None
-        version = self.holder()[1]
+        position = self.holder()[1]
         self._row = None
-        return version
+        return position
 
     def is_held(self, now_s: float) -> bool:
         """Return whether this member may act under the lease."""
@@ -195,6 +232,7 @@
         return Transaction(
             (Condition(self.key, row_version(self._row)),),
             (Write(self.key, None),),
+            self.era,
         )
 
     def is_holder(self) -> bool:
--- a/yuccavalve/peers/cells.py
+++ b/yuccavalve/peers/cells.py
@@ -117,6 +117,7 @@
             digest.yielded.add(
                 member=entry.member.member,
                 version=entry.yielded_lease,
+                era=entry.yielded_era,
             )
         if entry.uninformed:
             digest.uninformed.append(member_hash)
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -46,6 +46,7 @@
     decode_quarantine,
     encode_quarantine,
 )
+from yuccavalve.ports.position import NOWHERE, Position
 from yuccavalve.quarantine import RequestQuarantine
 from yuccavalve.ratelimit import LimitTable
 from yuccavalve.routing import RoutingState
@@ -114,7 +115,7 @@
     started
         Whether any daemon has received requests from callers.
     yielded_lease
-        Version of the lease row that this daemon held and gave up.
+        Position of the lease row that this daemon held and gave up.
     informed
         Whether this daemon has read routes and engines.
     engines_unreachable
@@ -144,7 +145,7 @@
     random: Random
     plans: bool = False
     started: bool = False
-    yielded_lease: int = 0
+    yielded_lease: Position = NOWHERE
     informed: bool = False
     engines_unreachable: bool = False
     follows: bool = False
@@ -399,8 +400,8 @@
             if total.strikes
         }
 
-    def has_yielded(self, member: str, lease_version: int) -> bool:
-        """Return whether a daemon no longer holds a version of the lease.
+    def has_yielded(self, member: str, lease: Position) -> bool:
+        """Return whether a daemon no longer holds the lease of a position.
 
         That is so when it has reported that it gave the lease up, or when
         another process with its name was seen later.
@@ -411,7 +412,7 @@
         if member.startswith(f'{local_member.name}-'):
             return True
         now_s = self.clock.now_s()
-        if (member, lease_version) in self.yielded_leases():
+        if (member, lease) in self.yielded_leases():
             return True
         last_seen_at_s = self.roster.last_seen_at_s(member)
         return any(
@@ -421,20 +422,24 @@
             for each in self.roster.live(now_s)
         )
 
-    def yielded_leases(self) -> set[tuple[str, int]]:
-        """Return daemon ids, each with the lease version that it gave up."""
+    def yielded_leases(self) -> set[tuple[str, Position]]:
+        """Return daemon ids, each with the lease's position that it gave up."""
         now_s = self.clock.now_s()
         yielded = {
             (
                 daemon_update.entry.member.member,
-                daemon_update.entry.yielded_lease,
+                Position(
+                    daemon_update.entry.yielded_era,
+                    daemon_update.entry.yielded_lease,
+                ),
             )
             for daemon_update in self._fresh_updates(now_s)
             if daemon_update.entry.yielded_lease
         }
         for cell in self._fresh_cells(now_s):
             yielded.update(
-                (each.member, each.version) for each in cell.digest.yielded
+                (each.member, Position(each.era, each.version))
+                for each in cell.digest.yielded
             )
         return yielded
 
@@ -486,7 +491,8 @@
             routing_version=self.routing.version,
             plans=self.plans,
             started=self.started,
-            yielded_lease=self.yielded_lease,
+            yielded_lease=self.yielded_lease.version,
+            yielded_era=self.yielded_lease.era,
             uninformed=not self.informed,
             engines_unreachable=self.engines_unreachable,
         )
