Search for what a store's return at any step breaks

script/prove has a model of three daemons whose calls go through the platform's adapter: each request reaches the store at one step and is answered at a later one, the store returns from a copy at any step, daemons are paused over it and tell each other what they know. One daemon at most plans; what a daemon has read of an evacuation or of a draining engine stays known to it; all agree in the end.

--- a/script/tools/prove/run.py
+++ b/script/tools/prove/run.py
@@ -4,6 +4,7 @@
 import asyncio
 import sys
 import time
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -12,12 +13,15 @@
 from script.tools.prove.grants import GrantsModel
 from script.tools.prove.ledger import LedgerModel
 from script.tools.prove.mutants import run_mutants
+from script.tools.prove.returns import ReturnsModel
 
 _MODELS: dict[str, tuple[Any, int]] = {
     'configuration': (ConfigurationModel, 800),
     'claims': (ClaimsModel, 3000),
     'ledger': (LedgerModel, 800),
     'grants': (GrantsModel, 800),
+    'returns': (ReturnsModel, 800),
+    'unstated returns': (partial(ReturnsModel, states_era=False), 800),
 }
 _SEED_COUNT = 25
 _MAX_TRACE_LINES = 40
--- a/script/tools/soak/guarantees.py
+++ b/script/tools/soak/guarantees.py
@@ -5,9 +5,15 @@
 
 import attrs
 
+from tests.platform.standin import EngineStandin
 from tests.support.arrivals import allowed_in_window, most_in_window
 
-__all__ = ('RequestOutcome', 'find_limit_violations', 'find_violations')
+__all__ = (
+    'RequestOutcome',
+    'find_evacuation_violations',
+    'find_limit_violations',
+    'find_violations',
+)
 
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
@@ -105,6 +111,31 @@
     return [f'{engine}: {most} requests in a window, {allowed:.0f} allowed']
 
 
+def find_evacuation_violations(
+    zone: str, from_s: float, engines: Iterable[EngineStandin]
+) -> list[str]:
+    """Return a message for each engine that was used in an evacuated zone.
+
+    Parameters
+    ----------
+    zone
+        The zone, which is not taken back.
+    from_s
+        Monotonic time from which no request may reach its engines.
+    engines
+        All engines, with the times at which requests began to run.
+    """
+    found = []
+    for engine in engines:
+        late_s = [at_s - from_s for at_s in engine.requests_s if at_s > from_s]
+        if late_s and engine.options.availability_zone == zone:
+            found.append(
+                f'{engine.options.engine}: {len(late_s)} requests in {zone}, '
+                f'the last one {max(late_s):.1f} s too late'
+            )
+    return found
+
+
 def _is_ended_properly(each: RequestOutcome, runs: Mapping[str, int]) -> bool:
     if each.kept and not each.status and not runs.get(each.request_id, 0):
         return True
--- a/script/tools/soak/run.py
+++ b/script/tools/soak/run.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from script.tools.soak.runner import Soak
-from script.tools.soak.schedule import calm_schedule, schedule
+from script.tools.soak.schedule import ScheduleName, draw
 
 _LENGTH_S = 12.0
 
@@ -20,17 +20,20 @@
     parser.add_argument('--length-s', type=float, default=_LENGTH_S)
     parser.add_argument('--replay', type=int)
     parser.add_argument('--calm', action='store_true')
+    parser.add_argument('--returns', action='store_true')
     options = parser.parse_args()
+    name = ScheduleName.ANY
+    if options.calm or options.returns:
+        name = ScheduleName.CALM if options.calm else ScheduleName.RETURNS
     seeds = range(options.seed, options.seed + options.seeds)
     if options.replay is not None:
         seeds = [options.replay]
-        draw = calm_schedule if options.calm else schedule
-        for fault in draw(options.replay, options.length_s):
+        for fault in draw(name, options.replay, options.length_s):
             print(fault.at_s, fault.kind, fault.duration_s, fault.target)
     failed = 0
     for seed in seeds:
         with tempfile.TemporaryDirectory() as folder:
-            soak = Soak(seed, options.length_s, Path(folder), calm=options.calm)
+            soak = Soak(seed, options.length_s, Path(folder), name)
             broken = asyncio.run(soak.async_run())
             print(f'seed {seed}: {soak.summary()}, {len(broken)} broken')
             for text in broken[:5]:
--- a/script/tools/soak/runner.py
+++ b/script/tools/soak/runner.py
@@ -1,6 +1,7 @@
 """Run a fault schedule against daemon processes under load."""
 
 import asyncio
+import math
 import os
 import signal
 import subprocess
@@ -17,14 +18,15 @@
 from script.tools.link import Link
 from script.tools.soak.guarantees import (
     RequestOutcome,
+    find_evacuation_violations,
     find_limit_violations,
     find_violations,
 )
 from script.tools.soak.schedule import (
     Fault,
     FaultKind,
-    calm_schedule,
-    schedule,
+    ScheduleName,
+    draw,
 )
 from tests.platform import builders
 from tests.platform.standin import (
@@ -67,6 +69,11 @@
 # them.
 _LIMITS_PER_S = (1, 2, 4)
 _LIMIT_KNOWN_S = 3.0
+# Zones of a run in which the store returns, the bound within which requests
+# keep off an evacuated one, and the age of a copy as a factor.
+_ZONES = ('zone-a', 'zone-b')
+_EVACUATE_S = 5.0
+_MAX_COPY_AGE = 6
 _PATHS = {'stream': '/llm/x', 'repeatable': '/get/x', 'once': '/once/x'}
 
 
@@ -117,13 +124,21 @@
     calm
         Whether nothing happens that excuses a lost request; load moves
         between two models, so that engines change theirs.
+    returns
+        Whether the store returns from copies while a zone is evacuated.
     """
 
     def __init__(
-        self, seed: int, length_s: float, folder: Path, *, calm: bool = False
+        self,
+        seed: int,
+        length_s: float,
+        folder: Path,
+        name: ScheduleName = ScheduleName.ANY,
     ) -> None:
         self.seed = seed
-        self.calm = calm
+        self.name = name
+        self.calm = name is ScheduleName.CALM
+        self.returns = name is ScheduleName.RETURNS
         self.length_s = length_s
         self.folder = folder
         self.fleet = FleetStandin()
@@ -142,11 +157,15 @@
         self._log_offsets: dict[int, int] = {}
         self._limited: EngineStandin | None = None
         self._limited_at_s = 0.0
+        self._written: dict[str, Any] = {}
+        self._evacuated = ''
+        self._evacuated_at_s = math.inf
 
     async def async_run(self) -> list[str]:
         """Run the schedule and return the violated guarantees."""
         await self.fleet.async_start(self._engine_options())
-        await self.fleet.async_configure(self._configuration())
+        self._written = self._configuration()
+        await self.fleet.async_configure(self._written)
         try:
             await self._async_start_daemons()
             await self._async_run_schedule()
@@ -166,12 +185,35 @@
             self.seen,
             runs,
             runs.keys() - self._sent,
-            [*self.reported, *self.fleet.violations, *self._over_limit()],
+            [*self.reported, *self._found()],
             _CALM_EVENTS if self.calm else _EVENTS_PER_STREAM,
             calm=self.calm,
         )
 
+    def _found(self) -> list[str]:
+        """Return what engines showed."""
+        return [
+            *self.fleet.violations,
+            *self._over_limit(),
+            *find_evacuation_violations(
+                self._evacuated,
+                self._evacuated_at_s + _EVACUATE_S,
+                self.fleet.started,
+            ),
+        ]
+
     def _engine_options(self) -> list[EngineOptions]:
+        if self.returns:
+            return [
+                attrs.evolve(
+                    each,
+                    engine=f'{each.engine}-{zone}',
+                    availability_zone=zone,
+                    fabric_domain=each.fabric_domain and f'{zone}-d0',
+                )
+                for zone in _ZONES
+                for each in builders.engine_options(count=_ENGINES // 2)
+            ]
         if not self.calm:
             return builders.engine_options(count=_ENGINES)
         return [
@@ -258,11 +300,10 @@
 
     async def _async_run_schedule(self) -> None:
         began_s = time.monotonic()
-        if not self.calm:
+        if self.name is ScheduleName.ANY:
             self._name_limit(began_s)
         load = asyncio.create_task(self._async_load(began_s))
-        draw = calm_schedule if self.calm else schedule
-        for fault in draw(self.seed, self.length_s):
+        for fault in draw(self.name, self.seed, self.length_s):
             await asyncio.sleep(began_s + fault.at_s - time.monotonic())
             self._spawn(self._async_inject(fault))
         await load
@@ -399,6 +440,7 @@
             'store': self._async_store,
             'link': self._async_link,
             'config': self._async_config,
+            'zone': self._async_evacuate,
         }
         await handlers[family](fault)
 
@@ -494,6 +536,9 @@
         if fault.kind is FaultKind.STORE_FORGETS:
             self.fleet.store.forget_history()
             return
+        if fault.kind is FaultKind.STORE_RETURN:
+            await self._async_return(fault)
+            return
         if fault.kind is FaultKind.STORE_SLOW:
             faults.delay_s = 0.2
             await asyncio.sleep(fault.duration_s)
@@ -508,6 +553,30 @@
         await asyncio.sleep(fault.duration_s)
         setattr(faults, name, False)
 
+    async def _async_return(self, fault: Fault) -> None:
+        """Let the store return from a copy; the operator writes again."""
+        copy = self.fleet.store.take_copy()
+        age_s = fault.duration_s * (1 + fault.target % _MAX_COPY_AGE)
+        await asyncio.sleep(age_s)
+        self.fleet.store.faults.down = fault.target % 2 > 0
+        await asyncio.sleep(fault.duration_s / 2)
+        self.fleet.return_store_from(copy)
+        self.fleet.store.faults.down = False
+        await asyncio.sleep(fault.duration_s)
+        await self.fleet.async_configure(self._written)
+        await asyncio.sleep(fault.duration_s)
+        if self._evacuated:
+            await self._async_write_evacuation()
+
+    async def _async_evacuate(self, fault: Fault) -> None:
+        self._evacuated = _ZONES[fault.target % len(_ZONES)]
+        await self._async_write_evacuation()
+        self._evacuated_at_s = time.monotonic()
+
+    async def _async_write_evacuation(self) -> None:
+        key = f'evacuate/{self._evacuated}'
+        await self.fleet.store.async_put('op', key, {})
+
     async def _async_link(self, fault: Fault) -> None:
         link = self._links[fault.target % _DAEMONS]
         if fault.kind is FaultKind.LINK_RESET:
@@ -531,6 +600,7 @@
         changed['routes'].append(
             builders.route(f'more-{self._version}', f'/more{self._version}/'),
         )
+        self._written = changed
         await self.fleet.async_configure(changed)
 
 
--- a/script/tools/soak/schedule.py
+++ b/script/tools/soak/schedule.py
@@ -5,7 +5,15 @@
 
 import attrs
 
-__all__ = ('Fault', 'FaultKind', 'calm_schedule', 'schedule')
+__all__ = (
+    'Fault',
+    'FaultKind',
+    'ScheduleName',
+    'calm_schedule',
+    'draw',
+    'return_schedule',
+    'schedule',
+)
 
 _FIRST_AT_S = 1.0
 _GAP_RANGE_S = (0.1, 1.6)
@@ -36,8 +44,35 @@
     LINK_DELAYED = 'link_delayed'
     LINK_RESET = 'link_reset'
     CONFIG_CHANGE = 'config_change'
+    STORE_RETURN = 'store_return'
+    ZONE_EVACUATE = 'zone_evacuate'
+
+
+class ScheduleName(enum.StrEnum):
+    """What the faults of a run are drawn from."""
+
+    ANY = 'any'
+    CALM = 'calm'
+    RETURNS = 'returns'
 
 
+# The store loses what it has acknowledged in runs of their own.
+_ANY_KINDS = tuple(FaultKind)[:-2]
+# Faults around a store that returns from copies, several times in a row.
+_RETURN_KINDS = (
+    FaultKind.STORE_RETURN,
+    FaultKind.STORE_RETURN,
+    FaultKind.STORE_RETURN,
+    FaultKind.CONFIG_CHANGE,
+    FaultKind.DAEMON_KILL,
+    FaultKind.DAEMON_PAUSE,
+    FaultKind.ENGINE_DRAIN,
+    FaultKind.ENGINE_KILL,
+    FaultKind.ENGINE_LATE_ORDERS,
+    FaultKind.STORE_LOSES_ANSWERS,
+)
+# When the zone is evacuated, as shares of the run.
+_EVACUATED_AT = (0.1, 0.6)
 # What excuses no lost request: a sound engine may be silent for a second or so.
 _CALM_KINDS = (
     FaultKind.CONFIG_CHANGE,
@@ -69,7 +104,7 @@
 
 def schedule(seed: int, length_s: float) -> list[Fault]:
     """Return the faults of a seed, in order."""
-    return _draw(Random(seed), length_s, tuple(FaultKind), _DURATION_RANGE_S)
+    return _draw(Random(seed), length_s, _ANY_KINDS, _DURATION_RANGE_S)
 
 
 def calm_schedule(seed: int, length_s: float) -> list[Fault]:
@@ -77,6 +112,26 @@
     return _draw(Random(seed), length_s, _CALM_KINDS, _BRIEF_RANGE_S)
 
 
+def return_schedule(seed: int, length_s: float) -> list[Fault]:
+    """Return returns of the store and an evacuation of a seed, in order."""
+    random = Random(seed)
+    faults = _draw(random, length_s, _RETURN_KINDS, _BRIEF_RANGE_S)
+    at_s = round(length_s * random.uniform(*_EVACUATED_AT), 2)
+    target = random.randrange(1000)
+    faults.append(Fault(at_s, FaultKind.ZONE_EVACUATE, length_s, target))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def draw(name: ScheduleName, seed: int, length_s: float) -> list[Fault]:
+    """Return the faults of a seed by the name of the schedule."""
+    draws = {
+        ScheduleName.ANY: schedule,
+        ScheduleName.CALM: calm_schedule,
+        ScheduleName.RETURNS: return_schedule,
+    }
+    return draws[name](seed, length_s)
+
+
 def _draw(
     random: Random,
     length_s: float,
--- a/tests/fleet/test_view_return.py
+++ b/tests/fleet/test_view_return.py
@@ -53,6 +53,23 @@
         self.view.apply(late, 2)
         self.assertEqual(self.view.position, news.position)
 
+    def test_late_reading_does_not_undo_later_news(self) -> None:
+        """A peer told of a later version while the store's answer came."""
+        later = attrs.evolve(_RECORD, draining=True)
+        news = EngineChanges(120, {'i-1': later}, era=1)
+        self.assertTrue(self.view.apply_relayed(news, 2))
+        self._change(1, 110, 3, _RECORD)
+        self.assertEqual(self.view.engine('i-1'), later)
+        self.assertEqual(self.view.position, news.position)
+
+    def test_entry_of_the_copy_does_not_undo_news_of_a_later_one(self) -> None:
+        """Another daemon had read it before the return."""
+        self._read(2, 50, 2, _RECORD, _OTHER)
+        later = attrs.evolve(_RECORD, slots=9, sequence=12)
+        self.view.apply_relayed(EngineChanges(50, {'i-1': later}, era=2), 2)
+        self._read(2, 50, 3, _RECORD, _OTHER)
+        self.assertEqual(self.view.engine('i-1'), later)
+
     def test_engine_that_the_copy_lacks_serves_until_it_is_listed(self) -> None:
         """It counted as one that had withdrawn its entry."""
         self._read(2, 50, 2, _RECORD)
--- a/tests/platform/standin/fleet.py
+++ b/tests/platform/standin/fleet.py
@@ -35,6 +35,8 @@
         Engines and epochs in which they were ready to serve.
     crashes_on_join
         Whether an order to join a group crashes engines that are added.
+    started
+        All engines that were started, also those that have ended.
     crashed
         Names of the engines that crashed, in order.
     """
@@ -48,6 +50,7 @@
         self.violations: list[str] = []
         self.ready_epochs: set[tuple[str, int]] = set()
         self.crashed: list[str] = []
+        self.started: list[EngineStandin] = []
         self.crashes_on_join = False
         self._crashing_part = ''
         self._crashing_request: CrashingRequest | None = None
@@ -91,6 +94,7 @@
         engine.address = server.address
         self._servers[options.engine] = server
         self.engines[options.engine] = engine
+        self.started.append(engine)
         return engine
 
     async def async_kill(self, name: str) -> None:
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -6,9 +6,11 @@
 
 from script.tools.soak.guarantees import (
     RequestOutcome,
+    find_evacuation_violations,
     find_limit_violations,
     find_violations,
 )
+from tests.platform.standin import EngineOptions, EngineStandin
 
 _EVENTS = 3
 _STREAM = RequestOutcome(
@@ -43,6 +45,15 @@
         refused = RequestOutcome('o', 'once', 503, True)
         self.assertEqual(_check(refused, runs=0), [])
 
+    def test_requests_in_an_evacuated_zone(self) -> None:
+        engine = EngineStandin(EngineOptions('p-1', 'portal', 'zone-a'), {})
+        engine.requests_s = [9.0, 9.9]
+        check = find_evacuation_violations
+        self.assertEqual(check('zone-a', 10, [engine]), [])
+        engine.requests_s.append(10.5)
+        self.assertEqual(len(check('zone-a', 10, [engine])), 1)
+        self.assertEqual(check('zone-b', 10, [engine]), [])
+
     def test_each_broken_promise(self) -> None:
         faulty = {
             'ran twice': (_ONCE, 2),
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -5,10 +5,17 @@
 from pathlib import Path
 
 from script.tools.soak.runner import Soak
-from script.tools.soak.schedule import FaultKind, calm_schedule, schedule
+from script.tools.soak.schedule import (
+    FaultKind,
+    ScheduleName,
+    calm_schedule,
+    return_schedule,
+    schedule,
+)
 
 _LENGTH_S = 6.0
 _CALM_LENGTH_S = 12.0
+_RETURNS_LENGTH_S = 16.0
 # Seed, length in seconds and cause of the failure when it was found.
 _FAILED_SEEDS = (
     (
@@ -30,10 +37,13 @@
     """Daemon processes that use the stand-in platform."""
 
     async def _async_play(
-        self, seed: int, length_s: float, *, calm: bool = False
+        self,
+        seed: int,
+        length_s: float,
+        name: ScheduleName = ScheduleName.ANY,
     ) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            soak = Soak(seed, length_s, Path(folder), calm=calm)
+            soak = Soak(seed, length_s, Path(folder), name)
             self.assertEqual(await soak.async_run(), [])
             self.assertIn(200, {each.status for each in soak.seen})
 
@@ -43,7 +53,10 @@
     async def test_no_request_is_lost_while_engines_are_only_silent(
         self,
     ) -> None:
-        await self._async_play(2, _CALM_LENGTH_S, calm=True)
+        await self._async_play(2, _CALM_LENGTH_S, ScheduleName.CALM)
+
+    async def test_store_returns_from_copies(self) -> None:
+        await self._async_play(1, _RETURNS_LENGTH_S, ScheduleName.RETURNS)
 
     async def test_seeds_that_failed(self) -> None:
         for seed, length_s, _ in _FAILED_SEEDS:
@@ -57,7 +70,10 @@
     def test_a_seed_gives_the_same_schedule(self) -> None:
         self.assertEqual(schedule(5, 30), schedule(5, 30))
         kinds = {
-            fault.kind for seed in range(30) for fault in schedule(seed, 12)
+            fault.kind
+            for draw in (schedule, return_schedule)
+            for seed in range(30)
+            for fault in draw(seed, 12)
         }
         self.assertEqual(kinds, set(FaultKind))
 
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -14,6 +14,7 @@
     find_stale_mutants,
     load_mutants,
 )
+from script.tools.prove.returns import ReturnsModel
 
 
 def _violations(
@@ -60,6 +61,16 @@
     def test_grants_without_boot(self) -> None:
         self.assertTrue(_violations(GrantsModel, 20, 600, check_boot=False))
 
+    def test_returns(self) -> None:
+        self.assertEqual(_violations(ReturnsModel, 20, 800), [])
+
+    def test_returns_that_no_era_states(self) -> None:
+        found = _violations(ReturnsModel, 10, 800, states_era=False)
+        self.assertEqual(found, [])
+
+    def test_returns_without_eras(self) -> None:
+        self.assertTrue(_violations(ReturnsModel, 8, 800, heeds_era=False))
+
 
 class MutantsTest(unittest.TestCase):
     """Mutants replace text that the sources hold."""
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -88,7 +88,6 @@
     _warm_at_s: dict[str, float] = attrs.field(factory=dict)
     _outage_until_s: float = _NEVER_S
     _leaving_born_ms: dict[str, int] = attrs.field(factory=dict)
-    _before_return: dict[str, EngineRecord] = attrs.field(factory=dict)
     _routable: dict[str, tuple[EngineRecord, ...]] = attrs.field(factory=dict)
     _routable_version: int = -1
 
@@ -122,7 +121,8 @@
         began_at_s
             Monotonic time at which the reading began; ``now_s`` if None.
         """
-        if engine_changes.era < self.era:
+        if engine_changes.position < self.position:
+            # Another daemon has told of later changes meanwhile.
             return
         self._record_era(engine_changes, now_s)
         self.version = engine_changes.version
@@ -197,23 +197,26 @@
         # A record that is missing from the copy was not withdrawn.
         self._renewed_at_s.clear()
         known = (*self._records.values(), *self.unlisted.values())
-        self._before_return = {record.engine: record for record in known}
         self._leaving_born_ms.update(
             (record.engine, record.born_ms)
             for record in known
             if record.draining or record.engine in self.withdrawn
         )
 
-    def _is_from_copy(self, record: EngineRecord) -> bool:
-        """Return whether a record is older than one of before the return."""
-        known = self._before_return.get(record.engine)
+    def _is_from_copy(self, record: EngineRecord, now_s: float) -> bool:
+        """Return whether a record is older than the one that is known.
+
+        That happens for some time after a return from a copy. Later on a number
+        that another writer gave an entry would hide those of the engine.
+        """
+        if now_s > self.relisted_at_s + UNLISTED_RETENTION_S:
+            return False
+        known = self._records.get(record.engine)
         if known is None:
+            known = self.unlisted.get(record.engine)
+        if known is None or known.born_ms != record.born_ms:
             return False
-        if known.born_ms == record.born_ms and record.sequence:
-            if record.sequence < known.sequence:
-                return True
-        self._before_return.pop(record.engine)
-        return False
+        return 0 < record.sequence < known.sequence
 
     def _record_read(self, read_at_s: float) -> None:
         if read_at_s - self.read_at_s > MAX_READ_GAP_S:
@@ -349,7 +352,7 @@
             return
         if current is not None and record.born_ms < current.born_ms:
             return
-        if self._is_from_copy(record):
+        if self._is_from_copy(record, now_s):
             self._missing_since_s.pop(engine, None)
             return
         self.on_record(record, now_s, self._is_start(record))
@@ -418,8 +421,6 @@
         for leaving in self.leaving_at_s.keys() - self._records.keys():
             if leaving not in self.unlisted:
                 self.leaving_at_s.pop(leaving)
-        if now_s > self.relisted_at_s + UNLISTED_RETENTION_S:
-            self._before_return.clear()
         settled = self.is_settled(now_s)
         for engine, since_s in list(self._missing_since_s.items()):
             silent_s = since_s - self._renewed_at_s.get(engine, _NEVER_S)
