Take answers with an undefined status for none

Here no reader passed on 000: it counted as interim, and the attempt waited for more until its time was up. What callers saw beside it: at a status of 600 to 999 their connection was closed without an answer (KeyError in the server of callers); with Not-Executed a request that may run once ran twice; the body of an interim answer of 150 to 199 came before that of the final one in a complete 200.

Cause: the reader of answers compared the status with 200 alone, and collected a body before any final head.

Change: interim is 100 to 199 without a body, final 200 to 599; anything else ends the attempt as lost. The fuzzer draws statuses of any number.

The harnesses of two test modules became base classes; their checks are unchanged.

--- a/script/tools/fuzz.py
+++ b/script/tools/fuzz.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import re
 import sys
 import time
 from collections.abc import Iterator
@@ -46,6 +47,11 @@
     b'1;' + b'y' * 9000,
 )
 _METHODS = ('GET', 'POST', 'HEAD')
+_FINAL_STATUSES = range(200, 600)
+_STATUS_LINE = re.compile(rb'HTTP/1\.1 (\d+)')
+# Besides any number of three digits.
+_ODD_STATUSES = (b'', b'0', b'20', b'0200', b'2000', b'-20', b'2 0', b'abc')
+_INTERIM_BODY = b'content-length: 4\r\n\r\nnone'
 _MAX_MUTATIONS = 4
 _MAX_PARTS = 5
 # The bounds of the reader, and one chunk as the event loop reads it.
@@ -93,17 +99,33 @@
     random = Random(seed)
     while True:
         sent = random.choice(_ANSWERS)
+        is_defined = random.random() < 0.7
+        if not is_defined:
+            sent = _with_other_status(sent, random)
         mutations = random.randrange(_MAX_MUTATIONS)
         for _ in range(mutations):
             sent = _mutated(sent, random)
         yield AnswerInput(
             random.choice(_METHODS),
-            not mutations and not sent.startswith(_SWITCH),
+            is_defined and not mutations and not sent.startswith(_SWITCH),
             tuple(_split(sent, random)),
             random.random() < 0.5,
         )
 
 
+def _with_other_status(sent: bytes, random: Random) -> bytes:
+    """Return an answer with a status of any number, or with none.
+
+    It may come after an interim answer that has a body.
+    """
+    status = b'%03d' % random.randrange(1000)
+    if random.random() < 0.2:
+        status = random.choice(_ODD_STATUSES)
+    if random.random() < 0.3:
+        return b'HTTP/1.1 %b X\r\n' % status + _INTERIM_BODY + sent
+    return _STATUS_LINE.sub(b'HTTP/1.1 ' + status, sent, 1)
+
+
 def _mutated(sent: bytes, random: Random) -> bytes:
     begin = random.randrange(len(sent) + 1)
     end = random.randrange(begin, len(sent) + 1)
@@ -138,7 +160,11 @@
     is_small = sum(map(len, received.parts)) < _MAX_OVERHEAD_BYTES
     if is_small and in_parts.outcome != at_once.outcome:
         return f'{in_parts.outcome} in parts, {at_once.outcome} at once'
-    complete = in_parts.outcome[0]
+    complete, status, _ = in_parts.outcome
+    if complete and status not in _FINAL_STATUSES:
+        return f'complete with status {status}'
+    if in_parts.has_body_without_head:
+        return 'a body without a head'
     unframed = in_parts.framing is BodyFraming.CONNECTION
     if complete and unframed and not received.ends_in_order:
         return 'complete after a reset'
@@ -155,6 +181,7 @@
     framing: BodyFraming
     held_bytes: int
     ended_by_connection: bool
+    has_body_without_head: bool
 
 
 def _read(received: AnswerInput, parts: tuple[bytes, ...]) -> _Reading:
@@ -178,7 +205,13 @@
     if not answer.complete:
         outcome = (False, 0, b'')
     ended_by_connection = answer.complete and not was_complete
-    return _Reading(outcome, answer.framing, held_bytes, ended_by_connection)
+    return _Reading(
+        outcome,
+        answer.framing,
+        held_bytes,
+        ended_by_connection,
+        bool(body) and not answer.status,
+    )
 
 
 def main() -> int:
--- a/tests/platform/scripted.py
+++ b/tests/platform/scripted.py
@@ -29,6 +29,7 @@
     'MAIN_FRAMINGS',
     'RESUMABLE',
     'STREAM_ONCE',
+    'UNDEFINED_STATUSES',
     'check_broken',
     'check_whole',
     'configuration',
@@ -65,6 +66,30 @@
 )
 # One of each kind, where both orders of the fields would take too long.
 MAIN_FRAMINGS = (LENGTH_LAST, CHUNKS_FIRST, UNFRAMED)
+# Statuses that are neither interim nor final ones.
+UNDEFINED_STATUSES = (
+    b'000 X',
+    b'001 X',
+    b'099 X',
+    b'600 X',
+    b'777',
+    b'999 X',
+    b'-20 X',
+    b'0200 OK',
+    b'2000 OK',
+    b'abc',
+    b'',
+)
+_NOT_RUN_FIELDS = b'Not-Executed: 1\r\nRetry-After: 1\r\n'
+# Interim answers have no body. Of some the parser reads one all the same.
+_INTERIM_BODIES = tuple(
+    b'HTTP/1.1 %d X\r\n%b\r\n\r\n%b' % (status, field, body)
+    for status in (100, 103, 150, 199)
+    for field, body in (
+        (b'Content-Length: 5', b'hello'),
+        (b'Transfer-Encoding: chunked', b'5\r\nhello\r\n0\r\n\r\n'),
+    )
+)
 _MAX_SHOWN = 8
 _RETRY_S = 0.05
 _END_NAMES = {False: 'closed', True: 'reset'}
@@ -196,6 +221,8 @@
     name
         What the answers are; also the request's body, so that no two requests
         are equal.
+    is_answer
+        Whether the last scripted answer counts up to where it breaks off.
     runs
         Number of times that the request began to run.
     """
@@ -203,6 +230,7 @@
     name: str
     target: str
     answers: Sequence[ScriptedAnswer]
+    is_answer: bool = True
     runs: int = 0
 
     def next_answer(self, fields: Mapping[str, str]) -> bytes | ScriptedAnswer:
@@ -227,7 +255,7 @@
             return self.runs == 1 and self._is_failure(found)
         if self.target == REPEATABLE:
             return self.runs == len(self.answers) + 1 and self.is_whole(found)
-        if _EVENTS[-1] in b''.join(self.answers[-1].parts):
+        if self.is_answer and _EVENTS[-1] in b''.join(self.answers[-1].parts):
             # What follows the last event can't be told from a lost one.
             return _is_broken_off(found, b''.join(_EVENTS))
         return self.runs == len(self.answers) + 1 and self.is_whole(found)
@@ -278,10 +306,14 @@
         target: str,
         name: str,
         answers: Callable[[str], Sequence[ScriptedAnswer]],
+        *,
+        is_answer: bool = True,
     ) -> None:
         """Add a case whose answers depend on the request's id."""
         request_id = f'{len(self.cases):04x}'
-        self.cases[request_id] = _Case(name, target, answers(request_id))
+        self.cases[request_id] = _Case(
+            name, target, answers(request_id), is_answer
+        )
 
     def add_cuts(self, target: str, framing: str, *, resets: bool) -> None:
         """Add cases whose first answer breaks off at each position."""
@@ -333,6 +365,62 @@
                 ),
             )
 
+    def add_statuses(self, target: str, *, not_run: bool = False) -> None:
+        """Add cases whose first answer is whole but for its status.
+
+        With ``not_run`` its head also says that the request has not run.
+        """
+        field = _NOT_RUN_FIELDS if not_run else b''
+        for status in UNDEFINED_STATUSES:
+            for framing in MAIN_FRAMINGS:
+                self._add_no_answer(
+                    target,
+                    f'{target}: {framing}, status {status!r}, {field!r}',
+                    lambda request_id: _encode_for(
+                        target, framing, request_id
+                    ).whole.replace(
+                        b' 200 OK\r\n', b' %b\r\n%b' % (status, field)
+                    ),
+                )
+
+    def add_interim_bodies(self, target: str) -> None:
+        """Add cases whose interim answer has a body."""
+        for interim in _INTERIM_BODIES:
+            self._add_no_answer(
+                target,
+                f'{target}: {interim!r}',
+                lambda request_id: (
+                    interim + _encode_for(target, LENGTH_LAST, request_id).whole
+                ),
+            )
+
+    def add_continued_statuses(self) -> None:
+        """Add streams whose second engine answers with such a status."""
+        begun_bytes = len(_EVENTS[0]) + 5
+        for status in UNDEFINED_STATUSES:
+
+            def answers(request_id: str) -> tuple[ScriptedAnswer, ...]:
+                first = _encode_stream(_LENGTH_FIRST, request_id)
+                second = _encode_stream(LENGTH_LAST, request_id, 1).whole
+                return (
+                    ScriptedAnswer((first.head + first.body[:begun_bytes],)),
+                    ScriptedAnswer((second.replace(b'200 OK', status),)),
+                )
+
+            name = f'continued: status {status!r}'
+            self.add(RESUMABLE, name, answers, is_answer=False)
+
+    def _add_no_answer(
+        self, target: str, name: str, encode: Callable[[str], bytes]
+    ) -> None:
+        """Add a case whose first answer is none, though it is sent whole."""
+        self.add(
+            target,
+            name,
+            lambda request_id: (ScriptedAnswer((encode(request_id),)),),
+            is_answer=False,
+        )
+
     def add_pauses(self, target: str, framing: str) -> None:
         """Add cases whose whole answer pauses at each position."""
         length = len(_encode_for(target, framing, '0000').whole)
--- a/tests/platform/test_broken_heads.py
+++ b/tests/platform/test_broken_heads.py
@@ -32,7 +32,7 @@
 from tests.platform.support import DaemonRun, async_stop_all, async_until
 
 
-class BrokenHeadTest(unittest.IsolatedAsyncioTestCase):
+class OneDaemon(unittest.IsolatedAsyncioTestCase):
     """One daemon, three replicas and three plain servers."""
 
     async def asyncSetUp(self) -> None:  # noqa: N802
@@ -52,11 +52,15 @@
         """Stop the daemon and the stand-in."""
         await async_stop_all(self.fleet, self.daemon)
 
-    async def _async_run(self, batch: Batch) -> Any:
+    async def async_run_batch(self, batch: Batch) -> Any:
         for engine in self.fleet.engines.values():
             engine.answer_bytes = batch.script
         return await batch.async_run(self.daemon.caller_address)
 
+
+class BrokenHeadTest(OneDaemon):
+    """Answers that break off."""
+
     async def _async_check_cuts(self, *targets: str) -> None:
         batch = Batch()
         for target in targets:
@@ -65,7 +69,7 @@
             is_once = target in {ONCE, STREAM_ONCE}
             for framing in FRAMINGS if is_once else MAIN_FRAMINGS:
                 batch.add_cuts(target, framing, resets=True)
-        check_broken(self, batch, await self._async_run(batch))
+        check_broken(self, batch, await self.async_run_batch(batch))
 
     async def test_whole_answer_that_breaks_off(self) -> None:
         await self._async_check_cuts(ONCE, REPEATABLE)
@@ -79,11 +83,11 @@
             batch.add_continued_cuts(framing, resets=False)
         for framing in MAIN_FRAMINGS:
             batch.add_continued_cuts(framing, resets=True)
-        check_broken(self, batch, await self._async_run(batch))
+        check_broken(self, batch, await self.async_run_batch(batch))
 
     async def test_answer_that_pauses_is_whole(self) -> None:
         batch = Batch()
         for framing in FRAMINGS:
             batch.add_pauses(ONCE, framing)
             batch.add_pauses(STREAM_ONCE, framing)
-        check_whole(self, batch, await self._async_run(batch))
+        check_whole(self, batch, await self.async_run_batch(batch))
--- a/tests/platform/test_broken_relayed_heads.py
+++ b/tests/platform/test_broken_relayed_heads.py
@@ -56,7 +56,7 @@
         )
 
 
-class BrokenRelayedHeadTest(unittest.IsolatedAsyncioTestCase):
+class RelayingDaemons(unittest.IsolatedAsyncioTestCase):
     """Four daemons, the first of which reaches no engine."""
 
     async def asyncSetUp(self) -> None:  # noqa: N802
@@ -100,18 +100,22 @@
         sender = self.first.relay_sender
         return sender.chooser.neighbors(self.first.clock.now_s())
 
-    def _redirect(self) -> None:
+    def redirect(self) -> None:
         """Let a scripted server stand in for the other daemons."""
         sender = self.first.relay_sender
         sender.port = _Redirect(sender.port, self.fleet.engines['p-0'].address)
 
-    async def _async_check(self, batch: Batch, check: Any) -> None:
+    async def async_check(self, batch: Batch, check: Any) -> None:
         for engine in self.fleet.engines.values():
             engine.answer_bytes = batch.script
         address = self.daemons[0].caller_address
         check(self, batch, await batch.async_run(address))
         self.assertTrue(self.first.reach.partitioned)
 
+
+class BrokenRelayedHeadTest(RelayingDaemons):
+    """Answers that break off."""
+
     async def test_engine_of_another_daemon_breaks_off(self) -> None:
         batch = Batch()
         for target in _TARGETS:
@@ -119,7 +123,7 @@
                 batch.add_cuts(target, framing, resets=False)
         for framing in MAIN_FRAMINGS:
             batch.add_cuts(ONCE, framing, resets=True)
-        await self._async_check(batch, check_broken)
+        await self.async_check(batch, check_broken)
 
     async def test_another_daemon_breaks_off(self) -> None:
         batch = Batch()
@@ -128,8 +132,8 @@
                 batch.add_cuts(target, framing, resets=False)
             batch.add_cuts(target, CHUNKS_FIRST, resets=True)
         batch.add_continued_cuts(CHUNKS_FIRST, resets=False)
-        self._redirect()
-        await self._async_check(batch, check_broken)
+        self.redirect()
+        await self.async_check(batch, check_broken)
 
     async def test_refusal_of_another_daemon_breaks_off(self) -> None:
         """A broken refusal is no statement that the request has not run."""
@@ -137,13 +141,13 @@
         for target in _TARGETS:
             for code in (ResultCode.MEMBER_LEAVING, ResultCode.NO_REPLICA):
                 batch.add_refusal_cuts(target, int(code))
-        self._redirect()
-        await self._async_check(batch, check_broken)
+        self.redirect()
+        await self.async_check(batch, check_broken)
 
     async def test_answer_of_another_daemon_that_pauses_is_whole(self) -> None:
         batch = Batch()
         for target in (ONCE, STREAM_ONCE):
             for framing in MAIN_FRAMINGS:
                 batch.add_pauses(target, framing)
-        self._redirect()
-        await self._async_check(batch, check_whole)
+        self.redirect()
+        await self.async_check(batch, check_whole)
--- a/yuccavalve/adapters/exchange.py
+++ b/yuccavalve/adapters/exchange.py
@@ -43,7 +43,9 @@
 _FIELD_BYTES = 160
 _USER_TIMEOUT_MS = 5000
 _BODILESS_STATUSES = frozenset((204, 304))
+_FIRST_INTERIM_STATUS = 100
 _FIRST_FINAL_STATUS = 200
+_LAST_FINAL_STATUS = 599
 
 
 @attrs.frozen
@@ -259,9 +261,15 @@
         self.headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
-        """Record the status and the framing of the body."""
+        """Record the status and the framing of the body.
+
+        A message with any other status than an interim or final one is no
+        answer, so nothing of it counts.
+        """
         self._unended_bytes = 0
         status = self._parser.get_status_code()
+        if not _FIRST_INTERIM_STATUS <= status <= _LAST_FINAL_STATUS:
+            raise ValueError(f'status {status:03d}')
         if self.complete or status < _FIRST_FINAL_STATUS:
             return
         self.status = status
@@ -272,12 +280,15 @@
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
         self._unended_bytes = 0
-        if not self.complete:
-            self._parts.append(body)
-            self._buffered_bytes += len(body)
-            self._body_bytes += len(body)
-            self._held_bytes += len(body)
-            self._held.take(len(body))
+        if self.complete:
+            return
+        if not self._head_received:
+            raise ValueError('an interim answer has a body')
+        self._parts.append(body)
+        self._buffered_bytes += len(body)
+        self._body_bytes += len(body)
+        self._held_bytes += len(body)
+        self._held.take(len(body))
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete."""
