Spread what daemons read and write anew after a store's return

All daemons learn of a new era within a second. A follower that then read all engines and routes anew did so at once: with 380 daemons some 1,100 pages within the time of a few heartbeats, although most get the new rows from their hub.

Change: a follower waits a random time of up to 4 ms for each known daemon before it reads, and doesn't read if its hub has told it meanwhile; hubs and the planner read at once, and after a mere loss of history nobody waits. The planner writes the quarantine's row again. Gauges count returns and zones that are held evacuated.

--- a/tests/daemon/test_gateway_metrics.py
+++ b/tests/daemon/test_gateway_metrics.py
@@ -26,6 +26,8 @@
     'yuccavalve_zone_evacuated{zone="zone-b"} 1.0',
     'yuccavalve_zones_evacuated 1.0',
     'yuccavalve_evacuations_version 4.0',
+    'yuccavalve_zones_held_evacuated 0.0',
+    'yuccavalve_store_returns 0.0',
     'yuccavalve_evacuations_age_seconds',
     'yuccavalve_evacuations_passed_over 0.0',
     'yuccavalve_admission_released_total 0.0',
--- a/tests/daemon/test_quarantine_loop.py
+++ b/tests/daemon/test_quarantine_loop.py
@@ -67,6 +67,16 @@
         rows = await self.table.async_read([_KEY])
         self.assertEqual(rows[_KEY].version, version)
 
+    async def test_row_that_the_store_lost_is_written_again(self) -> None:
+        loop = self._loop(self.planner, plans=True)
+        await loop.async_run_once()
+        await self.table.async_transact(Transaction((), (Write(_KEY, None),)))
+        await loop.async_run_once()
+        self.assertEqual(await self.table.async_read([_KEY]), {})
+        loop.begin_era(2)
+        await loop.async_run_once()
+        self.assertIn(_KEY, await self.table.async_read([_KEY]))
+
     async def test_daemon_that_does_not_plan_writes_nothing(self) -> None:
         await self._loop(self.planner, plans=False).async_run_once()
         self.assertEqual(await self.table.async_read([_KEY]), {})
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -7,11 +7,16 @@
 
 from yuccavalve.daemon.dependency import Dependency
 from yuccavalve.daemon.gateway_node import GatewayNode
-from yuccavalve.exceptions import FeedHistoryLostError, StoreUnavailableError
+from yuccavalve.exceptions import (
+    EraEndedError,
+    FeedHistoryLostError,
+    StoreUnavailableError,
+)
 from yuccavalve.fleet.const import (
     ENGINE_BATCH_DELAY_S,
     ENGINE_POLL_S,
     ENGINE_WAIT_S,
+    ERA_READ_INTERVAL_S,
     FEED_RETRY_FOLLOWER_S,
     FEED_RETRY_S,
     ROUTING_WAIT_S,
@@ -22,7 +27,7 @@
     UPDATE_AGE_CHECK_S,
 )
 from yuccavalve.ports.position import NOWHERE, Position
-from yuccavalve.timing import async_wait, jittered
+from yuccavalve.timing import async_wait, jittered, spread_s
 
 __all__ = ('EngineLoop', 'RoutingLoop', 'StallLoop')
 
@@ -52,6 +57,7 @@
             except FeedHistoryLostError as error:
                 logging.info('event=feed_restarted feed=routing %s', error)
                 self._position = NOWHERE
+                await _async_wait_for_turn(self.node, error)
             except StoreUnavailableError as error:
                 self._dependency.record_error(error)
                 await _async_back_off(self.node)
@@ -112,6 +118,7 @@
             except FeedHistoryLostError as error:
                 logging.info('event=feed_restarted feed=engines %s', error)
                 self._full_read_due = True
+                await _async_wait_for_turn(self.node, error)
             except StoreUnavailableError as error:
                 self._dependency.record_error(error)
                 self.node.view.record_outage(self.node.clock.now_s())
@@ -159,6 +166,19 @@
     await async_wait(node.planning, wait_s)
 
 
+async def _async_wait_for_turn(
+    node: GatewayNode, error: FeedHistoryLostError
+) -> None:
+    """Wait before a follower reads everything anew in a new era.
+
+    All daemons learn of it at about the same time. Most of them get the new
+    rows from their hub meanwhile, and need not read.
+    """
+    if isinstance(error, EraEndedError) and not node.serves_as_hub():
+        daemons = node.known_daemons()
+        await asyncio.sleep(spread_s(node.random, daemons, ERA_READ_INTERVAL_S))
+
+
 async def _async_back_off(node: GatewayNode) -> None:
     """Wait after a failed read, longer on a follower that has routes."""
     hub = node.serves_as_hub() or node.routing.table is None
--- a/yuccavalve/daemon/gateway_metrics.py
+++ b/yuccavalve/daemon/gateway_metrics.py
@@ -63,6 +63,7 @@
 def _add_view_gauges(metrics: Metrics, node: GatewayNode) -> None:
     """Add gauges of routes, engines and answers."""
     metrics.gauge('routing_version', lambda: node.routing.version)
+    metrics.gauge('store_returns', lambda: node.ports.eras.returns)
     metrics.gauge('routing_age_seconds', lambda: _routing_age_s(node))
     metrics.gauge('engines_age_seconds', lambda: _engines_age_s(node))
     metrics.gauge('engines_listed', lambda: len(tuple(node.view.records())))
@@ -100,6 +101,7 @@
         lambda: {(zone,): 1 for zone in evacuations.zones},
     )
     metrics.gauge('zones_evacuated', lambda: len(evacuations.zones))
+    metrics.gauge('zones_held_evacuated', lambda: len(evacuations.held))
     metrics.gauge('evacuations_version', lambda: evacuations.version)
     metrics.gauge(
         'evacuations_age_seconds',
--- a/yuccavalve/daemon/gateway_peers.py
+++ b/yuccavalve/daemon/gateway_peers.py
@@ -8,7 +8,7 @@
 from yuccavalve.daemon.dependency import Dependency
 from yuccavalve.daemon.gateway_node import GatewayNode
 from yuccavalve.exceptions import StoreUnavailableError
-from yuccavalve.fleet.const import SHARE_URGENT_DELAY_S
+from yuccavalve.fleet.const import ERA_WRITE_INTERVAL_S, SHARE_URGENT_DELAY_S
 from yuccavalve.membership import Member, decode_members
 from yuccavalve.membership.const import MEMBER_PREFIX
 from yuccavalve.peers import PeerUnreachableError
@@ -17,7 +17,7 @@
 from yuccavalve.peers.generated import peer_pb2
 from yuccavalve.peers.messages import unpack_document
 from yuccavalve.ports import Transaction, Write
-from yuccavalve.timing import async_wait, jittered
+from yuccavalve.timing import async_wait, jittered, spread_s
 
 __all__ = ('MemberLoop', 'ShareLoop')
 
@@ -30,10 +30,6 @@
 _FIRST_INTERVALS_S = (0.4, 1.5)
 _ALONE_INTERVAL_S = 2.0
 _INTERVAL_S = 60.0
-# Time over which a daemon's row is written again after the table service has
-# returned from a copy, for each known daemon, and for few of them.
-_REWRITE_SPREAD_PER_DAEMON_S = 0.02
-_REWRITE_MIN_SPREAD_S = 0.5
 
 
 @attrs.define
@@ -280,12 +276,11 @@
         """
         if not self.registered:
             return
-        spread_s = max(
-            _REWRITE_MIN_SPREAD_S,
-            self.node.known_daemons() * _REWRITE_SPREAD_PER_DAEMON_S,
+        node = self.node
+        wait_s = spread_s(
+            node.random, node.known_daemons(), ERA_WRITE_INTERVAL_S
         )
-        wait_s = self.node.random.uniform(0, spread_s)
-        self._rewrite_at_s = self.node.clock.now_s() + wait_s
+        self._rewrite_at_s = node.clock.now_s() + wait_s
 
     async def _async_rewrite(self) -> None:
         """Write the row again if that is due."""
--- a/yuccavalve/daemon/gateway_runner.py
+++ b/yuccavalve/daemon/gateway_runner.py
@@ -206,7 +206,7 @@
 
     def _quarantine_loop(self) -> QuarantineLoop:
         node = self._node
-        return QuarantineLoop(
+        loop = QuarantineLoop(
             node.share_state.quarantine,
             node.ports.table,
             node.clock,
@@ -215,6 +215,8 @@
             node.record_quarantine_read,
             node.ports.unreadable,
         )
+        node.on_era(loop.begin_era)
+        return loop
 
     def _permit_loop(self) -> PermitLoop:
         node = self._node
--- a/yuccavalve/daemon/quarantine_loop.py
+++ b/yuccavalve/daemon/quarantine_loop.py
@@ -61,6 +61,10 @@
     _was_planner: bool = False
     _written: dict[int, int] = attrs.field(factory=dict)
 
+    def begin_era(self, era: int) -> None:
+        """Read the row again, as a new planner does: it may have gone back."""
+        self._was_planner = False
+
     async def async_run(self) -> None:
         """Read the row, then keep it current, until cancelled."""
         while True:
--- a/yuccavalve/exceptions.py
+++ b/yuccavalve/exceptions.py
@@ -12,6 +12,7 @@
     'EngineRefusedError',
     'EngineResetError',
     'EngineUnreachableError',
+    'EraEndedError',
     'FeedHistoryLostError',
     'PermitExpiredError',
     'RequestRefusedError',
@@ -46,6 +47,10 @@
     """A feed's history does not reach back to the requested version."""
 
 
+class EraEndedError(FeedHistoryLostError):
+    """The table service has returned from a copy since the version."""
+
+
 class BackendNotReachedError(YuccavalveError):
     """No connection was made, so no byte of the request was sent."""
 
--- a/yuccavalve/fleet/const.py
+++ b/yuccavalve/fleet/const.py
@@ -29,6 +29,10 @@
 # Pause after a failed reading, for hubs and for other daemons.
 FEED_RETRY_S: Final = 0.3
 FEED_RETRY_FOLLOWER_S: Final = 1.5
+# Mean time between two followers that read everything anew after the store has
+# returned from a copy, and between two daemons that write their rows again.
+ERA_READ_INTERVAL_S: Final = 0.004
+ERA_WRITE_INTERVAL_S: Final = 0.02
 # How long one call to the routing feed waits for a change. A connection can
 # stall for good, so the planner calls again this often. Each answer also
 # confirms the routes to all daemons.
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -133,8 +133,9 @@
         Raises
         ------
         FeedHistoryLostError
-            When the history does not reach back to the position, or another
-            era has begun since.
+            When the history does not reach back to the position.
+        EraEndedError
+            When another era has begun since.
         StoreUnavailableError
             When no answer arrived.
         """
--- a/yuccavalve/timing.py
+++ b/yuccavalve/timing.py
@@ -3,7 +3,7 @@
 import asyncio
 from random import Random
 
-__all__ = ('async_wait', 'jittered')
+__all__ = ('async_wait', 'jittered', 'spread_s')
 
 _JITTER_SHARE = 0.2
 
@@ -25,3 +25,16 @@
     except TimeoutError:
         return False
     return True
+
+
+def spread_s(random: Random, count: int, interval_s: float) -> float:
+    """Return a random wait that spreads the actions of all daemons.
+
+    Parameters
+    ----------
+    count
+        Number of daemons that act.
+    interval_s
+        Mean time in seconds between the actions of two of them.
+    """
+    return random.uniform(0, count * interval_s)
