--- a/yuccavalve/eras.py
+++ b/yuccavalve/eras.py
@@ -52,13 +52,13 @@
     def place(
         self, sent_from: Position, stated: int | None, version: int | None
     ) -> int | None:
-        """Return the era of an answer, or None if that is not the newest.
+        """Return the era of an answer; None if it has passed or is unknown.
 
         Parameters
         ----------
         sent_from
-            Position before which the answer can't be unless the service has
-            returned from a copy.
+            Position that was known when the call was sent. An answer is of an
+            earlier one only if the service has returned from a copy.
         stated
             Number of the era in the answer; None if it states none.
         version
@@ -74,8 +74,8 @@
                 self._record(version)
                 return self.era
         # The answer may be of the era in which the call was sent.
-        is_named = stated is not None and not self.era % ERAS_PER_NUMBER
-        if sent_from.era < self.era and not is_named:
+        is_stated = stated is not None and not self.era % ERAS_PER_NUMBER
+        if sent_from.era < self.era and not is_stated:
             return None
         is_same_era = sent_from.era == self.era
         if version is not None and is_same_era and version < sent_from.version:
