--- a/tests/daemon/test_era_spread.py
+++ b/tests/daemon/test_era_spread.py
@@ -16,8 +16,8 @@
 from yuccavalve_platform.daemon import build_ports
 
 _DAEMONS = 380
-# A quarter of the 400 writing calls a second of a small deployment, and its 2,000
-# reading ones in a tenth of a second: a follower reads three pages.
+# A quarter of the 400 writing calls a second of a small deployment, and its
+# 2,000 reading ones in a tenth of a second: a follower reads three pages.
 _MAX_WRITES_PER_S = 100
 _WINDOWS_PER_S = 10
 _MAX_READERS = 66
