Repeat a full reading of engines that news have overtaken

Since the search for a store's returns, a reading that another daemon's news had overtaken is not applied. If it was the full one of a new planner, the daemon went on with changes and did not learn when engines had renewed their entries, which tells a withdrawn entry from an expired one.

--- a/tests/fleet/test_view_return.py
+++ b/tests/fleet/test_view_return.py
@@ -58,7 +58,8 @@
         later = attrs.evolve(_RECORD, draining=True)
         news = EngineChanges(120, {'i-1': later}, era=1)
         self.assertTrue(self.view.apply_relayed(news, 2))
-        self._change(1, 110, 3, _RECORD)
+        late = EngineChanges(110, {'i-1': _RECORD}, era=1)
+        self.assertFalse(self.view.apply(late, 3))
         self.assertEqual(self.view.engine('i-1'), later)
         self.assertEqual(self.view.position, news.position)
 
--- a/yuccavalve/daemon/gateway_loops.py
+++ b/yuccavalve/daemon/gateway_loops.py
@@ -153,8 +153,11 @@
         else:
             wait_s = ENGINE_WAIT_S if self.node.share_state.plans else 0
             changes = await feed.async_changes(view.position, wait_s)
-        self._full_read_due = False
-        view.apply(changes, self.node.clock.now_s(), began_at_s)
+        now_s = self.node.clock.now_s()
+        # A full reading that was overtaken is repeated: it tells when engines
+        # have renewed their records, which daemons don't relay.
+        if view.apply(changes, now_s, began_at_s):
+            self._full_read_due = False
         self.node.handle_engine_update()
         if changes.records:
             self.node.engines_changed.set()
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -109,7 +109,7 @@
         engine_changes: EngineChanges,
         now_s: float,
         began_at_s: float | None = None,
-    ) -> None:
+    ) -> bool:
         """Apply changes that this daemon read from the feed.
 
         Parameters
@@ -120,10 +120,15 @@
             Monotonic time.
         began_at_s
             Monotonic time at which the reading began; ``now_s`` if None.
+
+        Returns
+        -------
+        bool
+            Whether they were applied. They are not if another daemon has told
+            of later ones meanwhile.
         """
         if engine_changes.position < self.position:
-            # Another daemon has told of later changes meanwhile.
-            return
+            return False
         self._record_era(engine_changes, now_s)
         self.version = engine_changes.version
         self.as_of_s = now_s if began_at_s is None else began_at_s
@@ -140,6 +145,7 @@
             for engine in self._records.keys() - engine_changes.records.keys():
                 self._apply_record(engine, None, now_s)
         self._remove_expired(now_s)
+        return True
 
     def apply_relayed(
         self,
