Wait in a test of stops until servers are listed

Cause, traced: the stand-in writes the servers' entries 20 ms after its start. If the daemon reads the list before, it is ready without a server, refuses with 503 until its next reading 0.5 s later, and the test stops it after 0.09 s.

Change: the test waits for the servers before it sends.

--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -5,7 +5,12 @@
 
 from tests.platform import builders
 from tests.platform.standin import FleetStandin
-from tests.platform.support import Caller, DaemonRun, async_stop_all
+from tests.platform.support import (
+    Caller,
+    DaemonRun,
+    async_stop_all,
+    async_until,
+)
 from yuccavalve.exceptions import BackendLostError, BackendNotReachedError
 
 _INTERVAL_S = 0.003
@@ -24,6 +29,11 @@
         await self.fleet.async_configure(builders.configuration())
         self.daemon = DaemonRun(builders.settings(self.fleet.store_address))
         await self.daemon.async_start()
+        # On a busy machine it is ready before the servers are listed.
+        await async_until(
+            lambda: self.daemon.node.view.backends('portal'),
+            'the servers are listed',
+        )
         self.caller = Caller(self.daemon.caller_address, builders.KEY)
         self.cut: list[str] = []
         self.statuses: set[int] = set()
