Send no requests to heads of replicas that are replaced

A replica whose members have been ordered to leave stands still until it breaks. If its head engine comes back within that time, it is listed as open again, and daemons sent requests there until it had left: strikes end with its next event.

The planner now tells all daemons, with the loads that they exchange, which start and replica of an engine it replaces (EngineLoad.replaced, one bit beside the key of a head engine, for a few seconds), at once when one is added. They send nothing there. The set is the planner's own and ends with its tenure.

Checked by test_head_of_a_replaced_replica_gets_no_requests, test_replaced_heads_travel_through_hubs and test_all_daemons_are_told_at_once; the code that they call did not exist before.

--- a/tests/daemon/test_formation_duty.py
+++ b/tests/daemon/test_formation_duty.py
@@ -12,6 +12,7 @@
 from tests.support.queue_model import head_record
 from yuccavalve.daemon.formation_duty import FormationDuty
 from yuccavalve.daemon.gateway_node import build_gateway_node
+from yuccavalve.fleet.activity import engine_key
 from yuccavalve.formation import FormationInput, FormationPlanner
 from yuccavalve.formation.const import EPOCHS_PER_TERM
 from yuccavalve.membership import Lease, LeaseStep
@@ -52,6 +53,33 @@
         self.assertIn('planner_step_failed service=llm', logs.output[0])
 
 
+class ReplacedHeadTest(unittest.TestCase):
+    """A planner that has given a replica up."""
+
+    def test_all_daemons_are_told_at_once(self) -> None:
+        """A head that returned got requests until it had left."""
+        settings = builders.settings('127.0.0.1:1')
+        node = build_gateway_node(settings, build_ports(settings), Random(1))
+        node.adopt_routes(json.dumps(builders.configuration()).encode(), 'test')
+        node.view.version = 1
+        node.view.as_of_s = 0
+        lease = mock.Mock(tenure_began_at_s=0)
+        lease.term.return_value = 7
+        duty = FormationDuty(node, lease)
+        head = head_record('i-1')
+
+        def give_up(planner: FormationPlanner, *_: object) -> list:
+            planner.replaced_heads = [head]
+            return []
+
+        with mock.patch.object(FormationPlanner, 'step', give_up):
+            duty._step()
+        self.assertTrue(node.activity.is_replaced(engine_key(head)))
+        self.assertTrue(node.urgent_update.is_set())
+        node.record_planning(plans=False)
+        self.assertFalse(node.activity.is_replaced(engine_key(head)))
+
+
 class HigherEpochTest(unittest.TestCase):
     """An engine shows an epoch above the planner's term."""
 
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -92,6 +92,19 @@
         chosen = {self._choose() for _ in range(20)}
         self.assertEqual(chosen, {'n2'})
 
+    def test_head_of_a_replaced_replica_gets_no_requests(self) -> None:
+        """Progress of its last streams doesn't undo that."""
+        key = engine_key(self.heads[0])
+        run = EngineRun(key, 0, streams=True)
+        self.activity.begin(run)
+        self.activity.record_progress(run, 0)
+        self.activity.remote_replaced = frozenset((engine_key_hash(key),))
+        chosen = {self._choose() for _ in range(20)}
+        self.assertEqual(chosen, {'n2'})
+        self.activity.remote_replaced = frozenset()
+        self._load('n2', 2)
+        self.assertEqual(self._choose(), 'n1')
+
     def test_request_is_refused_when_all_replicas_are_full(self) -> None:
         for head in self.heads:
             self._load(head.engine, 2 * _SLOTS)
--- a/tests/peers/test_sharing.py
+++ b/tests/peers/test_sharing.py
@@ -211,6 +211,22 @@
         self.assertEqual(self.follower.activity.remote_strikes, {})
         self.assertEqual(self.hub.activity.remote_strikes, {_KEY_HASH: 1})
 
+    def test_replaced_heads_travel_through_hubs(self) -> None:
+        """The planner stops to tell of one whose replica has ended."""
+        self.follower.activity.replaced = frozenset((_KEY,))
+        self._follow()
+        self._exchange()
+        for share_state in (self.hub, self.far):
+            self.assertTrue(share_state.activity.is_replaced(_KEY))
+        self._follow()
+        self.assertEqual(self.follower.activity.remote_replaced, frozenset())
+        self.follower.activity.replaced = frozenset()
+        self.clock.advance(0.1)
+        self._follow()
+        self._exchange()
+        for share_state in (self.hub, self.far):
+            self.assertFalse(share_state.activity.is_replaced(_KEY))
+
     def test_progress_elsewhere_limits_strikes(self) -> None:
         stalled = self.follower.activity
         stalled.begin(EngineRun(_KEY, 0, streams=True))
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -65,6 +65,7 @@
     _passer: OrderPasser = attrs.field(init=False)
     _pass_on_at_s: dict[str, float] = attrs.field(factory=dict)
     _refusing: set[str] = attrs.field(factory=set)
+    _replaced: dict[str, frozenset[str]] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     @_orders.default
@@ -138,6 +139,7 @@
         if self._term != term:
             self._term = term
             self._planners.clear()
+            self._replaced.clear()
         self._limits.record(table, self.node.clock.now_s())
         for service in table.services.values():
             if service.engine is not None and self.node.view.version:
@@ -181,6 +183,7 @@
             self._spawn(self._async_order(planner, task))
         for head in planner.take_ended_heads():
             self.node.view.forget(head)
+        self._record_replaced(service.name, planner.replaced_heads)
         for repaired_s in planner.repairs.take():
             self.node.gateway.metrics.record_ms(
                 'repair_ms',
@@ -189,6 +192,17 @@
             )
         self._log_demand(service, facts, now_s)
 
+    def _record_replaced(
+        self, service: str, heads: Iterable[EngineRecord]
+    ) -> None:
+        """Tell all daemons which head engines get no requests any more."""
+        self._replaced[service] = frozenset(engine_key(head) for head in heads)
+        replaced = frozenset().union(*self._replaced.values())
+        activity = self.node.activity
+        if not replaced <= activity.replaced:
+            self.node.urgent_update.set()
+        activity.replaced = replaced
+
     def _has_highest_term(
         self, planner: FormationPlanner, facts: FormationInput
     ) -> bool:
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -191,6 +191,7 @@
             self.planning.set()
         else:
             self.planning.clear()
+            self.activity.replaced = frozenset()
 
     def serves_as_hub(self) -> bool:
         """Return whether this daemon follows no hub or has followers."""
--- a/yuccavalve/fleet/activity.py
+++ b/yuccavalve/fleet/activity.py
@@ -187,6 +187,9 @@
     remote_leaving
         Engines that have told another daemon that they are about to stop, by
         ``engine_key_hash``.
+    replaced, remote_replaced
+        Keys of head engines whose replica this daemon replaces as the planner,
+        and by ``engine_key_hash`` those that the planner tells of.
     partitioned
         Whether this daemon reaches no engine; failures are no evidence then.
     certain_until_s
@@ -199,6 +202,8 @@
     remote_runs: Mapping[int, int] = attrs.field(factory=dict)
     remote_strikes: Mapping[int, int] = attrs.field(factory=dict)
     remote_leaving: frozenset[int] = frozenset()
+    replaced: frozenset[str] = frozenset()
+    remote_replaced: frozenset[int] = frozenset()
     partitioned: bool = False
     certain_until_s: Callable[[], float] = _always_s
     on_end: Callable[[EngineRun], None] = _ignore_end
@@ -290,11 +295,14 @@
     def is_suspect(self, key: str, now_s: float) -> bool:
         """Return whether new requests should avoid an engine.
 
-        Strikes that other daemons report count unless this daemon has just
-        seen the engine make progress.
+        They always avoid one whose replica is being replaced. Strikes that
+        other daemons report count unless this daemon has just seen the engine
+        make progress.
         """
         if now_s < self._backoff_until_s.get(process_key(key), _NEVER_S):
             return True
+        if self.is_replaced(key):
+            return True
         activity = self._engines.get(key)
         if activity is not None:
             if now_s < activity.suspect_until_s:
@@ -305,6 +313,14 @@
             return False
         return engine_key_hash(key) in self.remote_strikes
 
+    def is_replaced(self, key: str) -> bool:
+        """Return whether the planner replaces an engine's replica."""
+        if key in self.replaced:
+            return True
+        if not self.remote_replaced:
+            return False
+        return engine_key_hash(key) in self.remote_replaced
+
     def suspect_until_s(self, key: str) -> float:
         """Return until when this daemon itself suspects an engine."""
         backoff_s = self._backoff_until_s.get(process_key(key), _NEVER_S)
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -92,6 +92,8 @@
         Models whose joins are suspended because they crash engines.
     forming
         Replicas that are being formed, by name.
+    replaced_heads
+        Records of the head engines of replicas that were given up.
     """
 
     health: ReplicaHealth
@@ -100,6 +102,7 @@
     repairs: Repairs = attrs.field(factory=Repairs)
     suspensions: JoinSuspensions = attrs.field(factory=JoinSuspensions)
     forming: dict[str, FormingReplica] = attrs.field(factory=dict)
+    replaced_heads: list[EngineRecord] = attrs.field(factory=list)
     _term: int = 0
     _retiring: dict[str, RetiringReplica] = attrs.field(factory=dict)
     _closed_at_s: dict[str, float] = attrs.field(factory=dict)
@@ -221,6 +224,7 @@
             )
             self._retiring[lost.replica] = lost.as_retiring()
         self._finish_retiring(facts)
+        self.replaced_heads = _head_records(facts, self._retiring)
         return headless
 
     def record(self, task: OrderTask, outcome: OrderOutcome) -> None:
@@ -717,6 +721,23 @@
     return membership is not None and membership.state is MemberState.CLOSING
 
 
+def _head_records(
+    facts: FormationInput, retiring: Mapping[str, RetiringReplica]
+) -> list[EngineRecord]:
+    """Return the records of head engines that are still in their replica."""
+    records = (
+        facts.engines.get(replica.head) or facts.unlisted.get(replica.head)
+        for replica in retiring.values()
+    )
+    return [
+        record
+        for record in records
+        if record is not None
+        and record.membership is not None
+        and record.membership.replica in retiring
+    ]
+
+
 def _are_listed(
     facts: FormationInput,
     retiring: RetiringReplica,
--- a/yuccavalve/peers/cells.py
+++ b/yuccavalve/peers/cells.py
@@ -39,6 +39,8 @@
         Number of daemons or cells with streams that make progress there.
     leaving
         Whether the engine has told one of them that it is about to stop.
+    replaced
+        Whether the planner replaces the engine's replica.
     """
 
     running: int = 0
@@ -46,12 +48,14 @@
     other_strikes: int = 0
     progressing: int = 0
     leaving: bool = False
+    replaced: bool = False
 
     def add(self, load: peer_pb2.EngineLoad) -> None:
         """Add the load of another daemon or cell."""
         self.running = min(MAX_UINT32, self.running + load.running)
         self.progressing += load.goes_on
         self.leaving = self.leaving or load.leaving
+        self.replaced = self.replaced or load.replaced
         if load.strikes > self.strikes:
             self.other_strikes = self.strikes
             self.strikes = load.strikes
@@ -71,6 +75,7 @@
                 strikes=self.strikes,
                 goes_on=self.progressing > 0,
                 leaving=self.leaving,
+                replaced=self.replaced,
             )
         excluded_has_most = excluded.strikes >= self.strikes
         return peer_pb2.EngineLoad(
@@ -79,6 +84,7 @@
             strikes=self.other_strikes if excluded_has_most else self.strikes,
             goes_on=self.progressing > excluded.goes_on,
             leaving=self.leaving,
+            replaced=self.replaced and not excluded.replaced,
         )
 
 
--- a/yuccavalve/peers/sharing.py
+++ b/yuccavalve/peers/sharing.py
@@ -471,6 +471,7 @@
         strikes = self.activity.strikes(self.clock.now_s())
         loads = self.activity.local_loads()
         leaving = self.activity.leaving()
+        replaced = self.activity.replaced
         return [
             peer_pb2.EngineLoad(
                 engine_key=engine_key_hash(key),
@@ -478,8 +479,9 @@
                 strikes=strikes.get(key, 0),
                 goes_on=key in loads and key not in strikes,
                 leaving=key in leaving,
+                replaced=key in replaced,
             )
-            for key in loads.keys() | strikes.keys() | leaving
+            for key in loads.keys() | strikes.keys() | leaving | replaced
         ]
 
     def _local_entry(self, *, with_loads: bool) -> peer_pb2.ShareEntry:
@@ -652,6 +654,9 @@
         self.activity.remote_leaving = frozenset(
             key for key, total in totals.items() if total.leaving
         )
+        self.activity.remote_replaced = frozenset(
+            key for key, total in totals.items() if total.replaced
+        )
 
 
 def _add_cells(totals: LoadTotals, cells: Iterable[CellUpdate]) -> LoadTotals:
