Find engines that refuse connections dead sooner

A refused probe finds it dead at once if the streams of its replica have stalled too, at any daemon. It only gives the replica up sooner; a refusal is no proof of an end, since a cut may refuse connections as well. Without a stall it counts as silence, as before.

test_only_an_established_connection_is_reset expected no report from a port without a listener; it expects the error that says so now.

--- a/tests/daemon/test_engine_prober.py
+++ b/tests/daemon/test_engine_prober.py
@@ -10,7 +10,7 @@
 from yuccavalve.clock import ManualClock
 from yuccavalve.daemon.engine_prober import EngineProber
 from yuccavalve.daemon.loop_delay import LoopDelay
-from yuccavalve.exceptions import EngineResetError
+from yuccavalve.exceptions import EngineNotListeningError, EngineResetError
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.formation.const import ENGINE_SILENCE_S, PROBES_AT_ONCE
 from yuccavalve.ports.fleet import (
@@ -33,11 +33,14 @@
         The answer to each probe; None for no answer.
     resets
         Whether the connection of each probe is reset.
+    refuses
+        Whether it is refused.
     """
 
     during_probe: Callable[[], None] = lambda: None
     report: EngineReport | None = None
     resets: bool = False
+    refuses: bool = False
     in_progress: int = 0
     most_in_progress: int = 0
 
@@ -56,6 +59,8 @@
         self.in_progress -= 1
         if self.resets:
             raise EngineResetError('connection reset')
+        if self.refuses:
+            raise EngineNotListeningError('connection refused')
         return self.report
 
 
@@ -112,6 +117,21 @@
         await self.prober.async_probe(self.record)
         self.assertEqual(self._dead(), frozenset())
 
+    async def test_stalled_engine_that_refuses_connections_is_dead(
+        self,
+    ) -> None:
+        """It was found dead after 1.5 s of probes only."""
+        self.engines.refuses = True
+        await self.prober.async_probe(self.record, 0.4)
+        self.assertEqual(self._dead(), {'i-1'})
+
+    async def test_refusal_alone_is_no_death(self) -> None:
+        """A cut between this daemon and the engine may refuse as well."""
+        self.engines.refuses = True
+        await self.prober.async_probe(self.record)
+        self.assertEqual(self._dead(), frozenset())
+        self.assertTrue(self.prober.is_silent('i-1'))
+
     async def test_engine_that_resets_connections_is_not_silent(self) -> None:
         """Engines do so beyond their number of connections."""
         self.engines.resets = True
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -5,7 +5,7 @@
 import unittest
 
 from tests.support.byte_server import ByteServer
-from yuccavalve.exceptions import EngineResetError
+from yuccavalve.exceptions import EngineNotListeningError, EngineResetError
 from yuccavalve.fleet.notices import NoticeRelay
 from yuccavalve.ports.fleet import (
     EngineRecord,
@@ -86,7 +86,8 @@
         with self.assertRaises(EngineResetError):
             await control.async_report(engine)
         await self.server.async_stop()
-        self.assertIsNone(await control.async_report(engine))
+        with self.assertRaises(EngineNotListeningError):
+            await control.async_report(engine)
 
     async def test_endless_report_of_an_engine_is_closed_early(self) -> None:
         self.server.answer_bytes = _HEAD
--- a/yuccavalve/daemon/engine_prober.py
+++ b/yuccavalve/daemon/engine_prober.py
@@ -8,7 +8,7 @@
 
 from yuccavalve.clock import Clock
 from yuccavalve.daemon.loop_delay import LoopDelay
-from yuccavalve.exceptions import EngineResetError
+from yuccavalve.exceptions import EngineNotListeningError, EngineResetError
 from yuccavalve.fleet.const import UNLISTED_RETENTION_S
 from yuccavalve.fleet.view import FleetView
 from yuccavalve.formation.const import (
@@ -206,7 +206,9 @@
         """Probe an engine, and record whether it is silent or slow.
 
         A probe that timed out while this daemon was slow proves nothing; it is
-        repeated. An engine that resets connections is not silent.
+        repeated. An engine that resets connections is not silent. One that
+        refuses them is dead at once if its replica's streams have stalled at
+        some daemon, and otherwise silent.
         """
         async with self._slots:
             sent_at_s = self.clock.now_s()
@@ -216,6 +218,11 @@
                 self._dead.pop(record.engine, None)
                 self._silent.pop(record.engine, None)
                 return
+            except EngineNotListeningError:
+                report = None
+                if stalled_s:
+                    self.record_dead(record, 'connection refused')
+                    return
         now_s = self.clock.now_s()
         if report is not None:
             self._dead.pop(record.engine, None)
--- a/yuccavalve/daemon/order_passing.py
+++ b/yuccavalve/daemon/order_passing.py
@@ -15,7 +15,7 @@
 
 from yuccavalve.clock import Clock
 from yuccavalve.daemon.loop_delay import LoopDelay
-from yuccavalve.exceptions import EngineResetError
+from yuccavalve.exceptions import EngineNotListeningError, EngineResetError
 from yuccavalve.formation import OrderTask
 from yuccavalve.formation.const import (
     ENGINE_SILENCE_S,
@@ -167,6 +167,8 @@
             return await self.orders.async_report(engine) is not None
         except EngineResetError:
             return True
+        except EngineNotListeningError:
+            return False
 
     async def _async_order(
         self, engine: EngineRecord, order: GroupOrder, limit_s: float
--- a/yuccavalve/exceptions.py
+++ b/yuccavalve/exceptions.py
@@ -10,6 +10,7 @@
     'BackendResetError',
     'ConfigurationInvalidError',
     'EngineRefusedError',
+    'EngineNotListeningError',
     'EngineResetError',
     'EngineUnreachableError',
     'EraEndedError',
@@ -115,6 +116,10 @@
     """
 
 
+class EngineNotListeningError(YuccavalveError):
+    """An engine refused a connection: nothing listens at its address."""
+
+
 class EngineUnreachableError(YuccavalveError):
     """An engine gave no valid answer; the outcome is unknown."""
 
--- a/yuccavalve/ports/fleet.py
+++ b/yuccavalve/ports/fleet.py
@@ -305,4 +305,6 @@
         ------
         EngineResetError
             When the engine reset the connection, which shows that it runs.
+        EngineNotListeningError
+            When the connection was refused.
         """
