Bind members that return to a replica whose end is waited for

Found by reading: a replica that is given up keeps the members that records showed at that time. A member whose record had been dropped (engines found dead are forgotten unless they are heads) and that is listed again during the wait, still in the replica, was not among them where the head is not known, so it looked free and was not ordered to leave. Members of the present records are added now.

No test shows the first case.

--- a/tests/formation/test_endings.py
+++ b/tests/formation/test_endings.py
@@ -188,6 +188,28 @@
         self.assertTrue(self._are_free())
 
 
+class ReturningMemberTest(unittest.TestCase):
+    """A head stays out of reach; a member is listed again during the wait."""
+
+    def test_member_that_returns_in_the_wait_is_not_free(self) -> None:
+        """Its record was forgotten when it was found dead."""
+        for seed in range(20):
+            model = DaemonFleetModel(Random(seed), service_profile((3,), (1,)))
+            model.add('d0', 7)
+            model.daemons = [ModelDaemon() for _ in range(3)]
+            model.run_daemons(12)
+            head = model.open_heads('m3')[0]
+            _, first, second = head.joined.members
+            model.cut_engine(head.engine, 60, model.daemons)
+            model.cut_engine(first, 60, model.daemons)
+            model.cut_engine(second, 8, model.daemons)
+            model.run_daemons(22)
+            with self.subTest(seed=seed):
+                self.assertEqual(model.violations[:2], [])
+                joined = model.engines[second].joined
+                self.assertGreater(joined.epoch, head.joined.epoch)
+
+
 class UnknownHeadTest(unittest.TestCase):
     """A daemon that has just started plans while a head is cut off."""
 
--- a/yuccavalve/formation/endings.py
+++ b/yuccavalve/formation/endings.py
@@ -207,7 +207,8 @@
         """
         if not self._is_silent(facts, replica):
             return
-        if replica.replica in self._answered_at_s:
+        has_answered = replica.replica in self._answered_at_s
+        if has_answered and self.is_spared(facts, replica, now_s):
             return
         if self._ends_requests(facts, replica, now_s):
             return
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from functools import cached_property
 
 import attrs
@@ -238,6 +238,13 @@
     model: str = ''
     is_lost: bool = False
 
+    def with_members(self, engines: Iterable[str]) -> 'RetiringReplica':
+        """Return the replica with members whose records have come back."""
+        added = [engine for engine in engines if engine not in self.members]
+        if not added:
+            return self
+        return attrs.evolve(self, members=(*self.members, *added))
+
 
 @attrs.define(eq=False)
 class FormingReplica:
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -223,6 +223,10 @@
                 'no record of its head engine',
             )
             self._retiring[lost.replica] = lost.as_retiring()
+        for name in self._retiring.keys() & replicas.keys():
+            self._retiring[name] = self._retiring[name].with_members(
+                replicas[name].members
+            )
         self._finish_retiring(facts)
         self.replaced_heads = _head_records(facts, self._retiring)
         return headless
