Show operators replicas whose end is waited for

`replica_ended` did not say what proved the end, and nothing showed that engines wait for one. It has a field proof now (head left, another engine at its address, members left), and the planner a gauge replicas_ending by service. A changed bounds.stall_ms counts from the next step on, as OPERATIONS.md states of all bounds.

--- a/tests/daemon/test_formation_duty.py
+++ b/tests/daemon/test_formation_duty.py
@@ -79,6 +79,16 @@
         node.record_planning(plans=False)
         self.assertFalse(node.activity.is_replaced(engine_key(head)))
 
+    def test_gauge_counts_replicas_only_while_this_daemon_plans(self) -> None:
+        """Two replicas have been given up and not ended."""
+        settings = builders.settings('127.0.0.1:1')
+        node = build_gateway_node(settings, build_ports(settings), Random(1))
+        duty = FormationDuty(node, mock.Mock())
+        duty._planners['llm'] = mock.Mock(retiring={'r1': None, 'r2': None})
+        self.assertEqual(duty._ending_replicas(), {})
+        node.record_planning(plans=True)
+        self.assertEqual(duty._ending_replicas(), {('llm',): 2})
+
 
 class HigherEpochTest(unittest.TestCase):
     """An engine shows an epoch above the planner's term."""
--- a/tests/formation/test_endings.py
+++ b/tests/formation/test_endings.py
@@ -211,7 +211,10 @@
 
 
 class UnknownHeadTest(unittest.TestCase):
-    """A daemon that has just started plans while a head is cut off."""
+    """All daemons start anew after the record of a head has expired.
+
+    The head is cut off from the store and from them, and serves on.
+    """
 
     def test_members_of_a_head_that_was_never_seen_wait(self) -> None:
         """They looked free 10 s after the daemon had begun to read."""
@@ -221,11 +224,18 @@
             model.daemons = [ModelDaemon() for _ in range(3)]
             model.run_daemons(12)
             head = model.open_heads('m3')[0]
-            model.cut_engine(head.engine, 40, model.daemons)
-            model.run_daemons(3.4)
+            members = head.joined.members[1:]
+            model.cut_engine(head.engine, 60, model.daemons)
             for daemon in list(model.daemons):
-                model.restart_daemon(daemon)
+                model.cut_daemon(daemon, store=True, peers=False)
+            model.run_daemons(5)
+            model.daemons = [ModelDaemon() for _ in range(3)]
+            model.engines[head.engine].cut_from_store = True
+            for daemon in model.daemons:
+                daemon.cut_engines.add(head.engine)
             model.run_daemons(24)
             with self.subTest(seed=seed):
                 self.assertEqual(model.violations[:2], [])
-                self.assertTrue(model.open_heads('m3'))
+                joined = [model.engines[name].joined for name in members]
+                epochs = {each.epoch for each in joined if each}
+                self.assertNotIn(head.joined.epoch, epochs)
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -98,12 +98,11 @@
         run = EngineRun(key, 0, streams=True)
         self.activity.begin(run)
         self.activity.record_progress(run, 0)
+        self._load('n2', 2)
+        self.assertEqual(self._choose(), 'n1')
         self.activity.remote_replaced = frozenset((engine_key_hash(key),))
         chosen = {self._choose() for _ in range(20)}
         self.assertEqual(chosen, {'n2'})
-        self.activity.remote_replaced = frozenset()
-        self._load('n2', 2)
-        self.assertEqual(self._choose(), 'n1')
 
     def test_request_is_refused_when_all_replicas_are_full(self) -> None:
         for head in self.heads:
--- a/yuccavalve/daemon/formation_duty.py
+++ b/yuccavalve/daemon/formation_duty.py
@@ -99,12 +99,15 @@
         )
 
     def __attrs_post_init__(self) -> None:
-        """Add the gauge of suspended joins."""
+        """Add the gauges of suspended joins and ending replicas."""
         self.node.gateway.metrics.labelled_gauges(
             'joins_suspended',
             ('service', 'model'),
             self._suspended_joins,
         )
+        self.node.gateway.metrics.labelled_gauges(
+            'replicas_ending', ('service',), self._ending_replicas
+        )
 
     async def async_run(self) -> None:
         """Run planner steps until cancelled."""
@@ -166,6 +169,7 @@
             )
             planner.start_term(self._term)
             self._planners[service.name] = planner
+        planner.endings.stall_s = self.node.settings.bounds.stall_ms / _MS
         facts = self._build_input(service, now_s)
         self._prober.start_probes(
             (
@@ -227,6 +231,15 @@
             for model, suspension in planner.suspensions.suspended.items()
         }
 
+    def _ending_replicas(self) -> dict[tuple[str, ...], float]:
+        """Return how many given up replicas have not ended, by service."""
+        if not self.node.share_state.plans:
+            return {}
+        return {
+            (service,): len(planner.retiring)
+            for service, planner in self._planners.items()
+        }
+
     def _may_probe(self, record: EngineRecord, now_s: float) -> bool:
         node = self.node
         if now_s < node.activity.backoff_until_s(record):
--- a/yuccavalve/formation/endings.py
+++ b/yuccavalve/formation/endings.py
@@ -147,14 +147,17 @@
         self._replaced.discard(replica)
         self._left_at_s.pop(replica, None)
 
-    def has_ended(
+    def proof(
         self, facts: FormationInput, replica: RetiringReplica, now_s: float
-    ) -> bool:
-        """Return whether a replica has ended without its head's own word."""
+    ) -> str:
+        """Return what proves that a replica has ended, or an empty string.
+
+        The word of its head engine is not looked at here.
+        """
         if replica.replica in self._replaced:
-            return True
+            return 'another engine at its address'
         if replica.replica in self._ended:
-            return False
+            return ''
         out_at_s = [
             *self._left_at_s.get(replica.replica, {}).values(),
             *(
@@ -163,7 +166,9 @@
                 if departure.replica == replica.replica
             ),
         ]
-        return bool(out_at_s) and now_s - min(out_at_s) >= self.stall_s
+        if not out_at_s or now_s - min(out_at_s) < self.stall_s:
+            return ''
+        return 'members left'
 
     def may_return_sound(
         self, facts: FormationInput, replica: RetiringReplica
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -92,8 +92,10 @@
         Models whose joins are suspended because they crash engines.
     forming
         Replicas that are being formed, by name.
+    retiring
+        Replicas that were given up and have not ended yet, by name.
     replaced_heads
-        Records of the head engines of replicas that were given up.
+        Records of their head engines.
     """
 
     health: ReplicaHealth
@@ -102,9 +104,9 @@
     repairs: Repairs = attrs.field(factory=Repairs)
     suspensions: JoinSuspensions = attrs.field(factory=JoinSuspensions)
     forming: dict[str, FormingReplica] = attrs.field(factory=dict)
+    retiring: dict[str, RetiringReplica] = attrs.field(factory=dict)
     replaced_heads: list[EngineRecord] = attrs.field(factory=list)
     _term: int = 0
-    _retiring: dict[str, RetiringReplica] = attrs.field(factory=dict)
     _closed_at_s: dict[str, float] = attrs.field(factory=dict)
     _abandoned: set[str] = attrs.field(factory=set)
     _former_heads: dict[str, tuple[int, str]] = attrs.field(factory=dict)
@@ -130,7 +132,7 @@
         """Reset the state for a new term."""
         self._term = term
         self.forming.clear()
-        self._retiring.clear()
+        self.retiring.clear()
         self._closed_at_s.clear()
         self._abandoned.clear()
         self._former_heads.clear()
@@ -148,7 +150,7 @@
         suspended = self.suspensions.update(facts, now_s)
         facts = attrs.evolve(facts, suspended=suspended)
         self.health.update(facts, now_s)
-        self.endings.update(facts, self._retiring.values(), now_s)
+        self.endings.update(facts, self.retiring.values(), now_s)
         self._record_engines(facts, now_s)
         replicas = replicas_of(facts)
         headless = self._update_replicas(facts, replicas, now_s)
@@ -166,7 +168,7 @@
             warming=warming,
             missing=missing_models(facts, counts),
             former_models=_former_models(facts, self._former_heads),
-            soon_available=_soon_available(facts, self._retiring.values()),
+            soon_available=_soon_available(facts, self.retiring.values()),
             priority_model=self._rebalancer.priority_model(now_s),
         )
         if facts.started or now_s - self._engine_added_at_s >= SETTLE_S:
@@ -222,13 +224,13 @@
                 len(lost.members),
                 'no record of its head engine',
             )
-            self._retiring[lost.replica] = lost.as_retiring()
-        for name in self._retiring.keys() & replicas.keys():
-            self._retiring[name] = self._retiring[name].with_members(
+            self.retiring[lost.replica] = lost.as_retiring()
+        for name in self.retiring.keys() & replicas.keys():
+            self.retiring[name] = self.retiring[name].with_members(
                 replicas[name].members
             )
         self._finish_retiring(facts)
-        self.replaced_heads = _head_records(facts, self._retiring)
+        self.replaced_heads = _head_records(facts, self.retiring)
         return headless
 
     def record(self, task: OrderTask, outcome: OrderOutcome) -> None:
@@ -330,7 +332,7 @@
         self.forming.pop(replica.replica, None)
         self._abandoned.add(replica.replica)
         if replica.opened:
-            self._retiring[replica.replica] = replica.as_retiring()
+            self.retiring[replica.replica] = replica.as_retiring()
 
     def _give_up_unhealthy(
         self,
@@ -352,7 +354,7 @@
         """Keep replicas that seemed lost and are sound after all."""
         whole = [
             retiring
-            for retiring in self._retiring.values()
+            for retiring in self.retiring.values()
             if self.endings.may_return_sound(facts, retiring)
             and _are_listed(facts, retiring, replicas.get(retiring.replica))
         ]
@@ -365,7 +367,7 @@
                     replica.epoch,
                     replica.head,
                 )
-                self._retiring.pop(retiring.replica)
+                self.retiring.pop(retiring.replica)
                 self.endings.record_kept(retiring.replica)
                 self.repairs.record_kept(retiring.model)
 
@@ -381,7 +383,7 @@
         """Return whether a replica is forming, retiring or just closed."""
         return (
             replica in self.forming
-            or replica in self._retiring
+            or replica in self.retiring
             or self._has_recently_closed(replica)
         )
 
@@ -395,16 +397,18 @@
         return self._now_s - closed_at_s < RECORD_LAG_S
 
     def _finish_retiring(self, facts: FormationInput) -> None:
-        for replica in list(self._retiring.values()):
-            if self.endings.has_ended(
-                facts, replica, self._now_s
-            ) or self._has_left(facts, replica):
+        for replica in list(self.retiring.values()):
+            proof = self.endings.proof(facts, replica, self._now_s)
+            if not proof and self._has_left(facts, replica):
+                proof = 'head left'
+            if proof:
                 logging.info(
-                    'event=replica_ended replica=%s head=%s',
+                    'event=replica_ended replica=%s head=%s proof=%r',
                     replica.replica,
                     replica.head,
+                    proof,
                 )
-                self._retiring.pop(replica.replica)
+                self.retiring.pop(replica.replica)
                 self.endings.record_ended(replica.replica)
                 self._closed_at_s[replica.replica] = self._now_s
                 if replica.head:
@@ -424,7 +428,7 @@
         taken: set[str] = set()
         for forming in self.forming.values():
             taken.update(forming.members)
-        for retiring in self._retiring.values():
+        for retiring in self.retiring.values():
             taken.update(retiring.members)
         for replica in replicas.values():
             has_closed = self._has_recently_closed(replica.replica)
@@ -440,7 +444,7 @@
         taken: set[str],
     ) -> None:
         """Give up replicas whose engines another model needs more."""
-        if self._rebalancer.is_waiting(self._retiring, self._now_s):
+        if self._rebalancer.is_waiting(self.retiring, self._now_s):
             return
         usable = usable_engines(facts, taken)
         serving = {
@@ -486,7 +490,7 @@
             reason.close_s * _MS,
             reason.text,
         )
-        self._retiring[replica.replica] = replica.as_retiring(
+        self.retiring[replica.replica] = replica.as_retiring(
             leave_at_s=self._now_s + reason.close_s,
             counted_at_s=self._now_s + 2 * SHARE_PERIOD_S,
             model='' if model is None else model.name,
@@ -529,7 +533,7 @@
 
     def _retiring_tasks(self, facts: FormationInput) -> Iterator[OrderTask]:
         """Yield the orders to head engines, and to members of silent ones."""
-        for replica in self._retiring.values():
+        for replica in self.retiring.values():
             head = facts.engines.get(replica.head) or facts.unlisted.get(
                 replica.head,
             )
