Date engines' departures by when this daemon learned of them

Found by reading the change. A follower dated a departure by the planner's reading of the list, which can be some network delay before the engine had left; the wait of a planner that takes over was shorter by that. A replica that was given up for a dead member was kept if that member answered before its head had answered the order to leave, which ends it; it takes an order without an answer now. A retiring replica whose head was not known takes it from the records that have come back.

--- a/tests/support/daemon_model.py
+++ b/tests/support/daemon_model.py
@@ -304,6 +304,7 @@
                 is_complete=True,
             ),
             source.read_at_s,
+            self.now_s,
         )
 
     def _record_answers(self) -> None:
--- a/yuccavalve/daemon/gateway_node.py
+++ b/yuccavalve/daemon/gateway_node.py
@@ -244,7 +244,9 @@
         self, changes: EngineChanges, read_at_s: float
     ) -> bool:
         """Apply another daemon's view; return False if it is older."""
-        applied = self.view.apply_relayed(changes, read_at_s)
+        applied = self.view.apply_relayed(
+            changes, read_at_s, self.clock.now_s()
+        )
         if applied:
             self.handle_engine_update()
         return applied
--- a/yuccavalve/fleet/view.py
+++ b/yuccavalve/fleet/view.py
@@ -155,6 +155,7 @@
         self,
         engine_changes: EngineChanges,
         read_at_s: float,
+        now_s: float | None = None,
     ) -> bool:
         """Apply changes of another daemon's view unless they are older.
 
@@ -168,6 +169,8 @@
         read_at_s
             Monotonic time on this daemon's clock that is not later than
             the other daemon's reading of the feed.
+        now_s
+            Monotonic time; ``read_at_s`` if None.
 
         Returns
         -------
@@ -184,7 +187,7 @@
             if record is None:
                 self._remove(engine, MIN_EXPIRY_SILENCE_S)
             else:
-                self._apply_record(engine, record, read_at_s)
+                self._apply_record(engine, record, read_at_s, now_s)
         if engine_changes.is_complete:
             for missing in self._records.keys() - engine_changes.records.keys():
                 self._remove(missing, MIN_EXPIRY_SILENCE_S)
@@ -353,28 +356,31 @@
         self,
         engine: str,
         record: EngineRecord | None,
-        now_s: float,
+        read_at_s: float,
+        now_s: float | None = None,
     ) -> None:
         current = self._records.get(engine)
         if record is None:
             if current is not None and engine not in self._missing_since_s:
-                self._missing_since_s[engine] = now_s
+                self._missing_since_s[engine] = read_at_s
             return
         if current is not None and record.born_ms < current.born_ms:
             return
-        if self._is_from_copy(record, now_s):
+        if self._is_from_copy(record, read_at_s):
             self._missing_since_s.pop(engine, None)
             return
-        self.on_record(record, now_s, self._is_start(record))
+        self.on_record(record, read_at_s, self._is_start(record))
         self._warm_at_s.pop(engine, None)
         if record.warmup_left_s > 0:
-            self._warm_at_s[engine] = now_s + record.warmup_left_s
+            self._warm_at_s[engine] = read_at_s + record.warmup_left_s
         record = self._as_told(record)
         self._missing_since_s.pop(engine, None)
-        self._record_leaving(record, current, now_s)
-        self.memberships.record(record, now_s)
+        self._record_leaving(record, current, read_at_s)
+        # Engines left before this daemon learned of it, not before the reading.
+        learned_at_s = read_at_s if now_s is None else now_s
+        self.memberships.record(record, learned_at_s)
         self.forget(engine)
-        self._renewed_at_s[engine] = now_s
+        self._renewed_at_s[engine] = read_at_s
         if record != current:
             self._records[engine] = record
             self._record_change(engine)
--- a/yuccavalve/formation/endings.py
+++ b/yuccavalve/formation/endings.py
@@ -175,11 +175,13 @@
     ) -> bool:
         """Return whether a lost replica may be sound when its head returns.
 
-        That is so while no member is known to have left it. Its head engine
-        is not ordered to leave meanwhile if no daemon reaches it.
+        That is so while its head engine has left an order to leave unanswered
+        and no member is known to have left.
         """
         if not replica.is_lost or self._left_at_s.get(replica.replica):
             return False
+        if replica.replica not in self._unanswered:
+            return False
         return all(
             departure.replica != replica.replica
             for departure in facts.departures.values()
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from functools import cached_property
 
 import attrs
@@ -238,13 +238,6 @@
     model: str = ''
     is_lost: bool = False
 
-    def with_members(self, engines: Iterable[str]) -> 'RetiringReplica':
-        """Return the replica with members whose records have come back."""
-        added = [engine for engine in engines if engine not in self.members]
-        if not added:
-            return self
-        return attrs.evolve(self, members=(*self.members, *added))
-
 
 @attrs.define(eq=False)
 class FormingReplica:
@@ -378,6 +371,19 @@
             is_lost=is_lost,
         )
 
+    def added_to(self, retiring: RetiringReplica) -> RetiringReplica:
+        """Return a retiring replica with the engines that have come back."""
+        added = [
+            engine for engine in self.members if engine not in retiring.members
+        ]
+        if not added:
+            return retiring
+        return attrs.evolve(
+            retiring,
+            head=retiring.head or self.head,
+            members=(*retiring.members, *added),
+        )
+
     @property
     def is_open(self) -> bool:
         """Return whether the head engine takes or still has requests."""
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -226,9 +226,7 @@
             )
             self.retiring[lost.replica] = lost.as_retiring()
         for name in self.retiring.keys() & replicas.keys():
-            self.retiring[name] = self.retiring[name].with_members(
-                replicas[name].members
-            )
+            self.retiring[name] = replicas[name].added_to(self.retiring[name])
         self._finish_retiring(facts)
         self.replaced_heads = _head_records(facts, self.retiring)
         return headless
