Bind spares that left a replica between two readings

The next planner's daemon had not read the list meanwhile. It saw the spare leave its standby replica, nothing else, and had it join another one at once, while the head was open.

An engine that has left a standby replica is bound for stall_ms now, as is a member that left a replica before the planner's tenure began, whatever became of that replica's head: it may have been in another one since. In calm nothing is bound: engines leave a standby replica only to join another.

test_spare_that_left_something_unseen_waits fails without the rule (mutant).

--- a/tests/fleet/test_memberships.py
+++ b/tests/fleet/test_memberships.py
@@ -42,9 +42,9 @@
 
     def test_member_that_leaves_is_remembered(self) -> None:
         self._apply(_FREE, 2)
-        self.assertEqual(self._departures(), {'i-2': Departure('r7', 7, 2)})
+        self.assertEqual(self._departures(), {'i-2': Departure('r7', 7, 1, 2)})
         self._apply(_FREE, 3)
-        self.assertEqual(self._departures(), {'i-2': Departure('r7', 7, 2)})
+        self.assertEqual(self._departures(), {'i-2': Departure('r7', 7, 1, 2)})
         self._apply(_FREE, 4 + UNLISTED_RETENTION_S)
         self.assertEqual(self._departures(), {})
 
@@ -61,7 +61,7 @@
         self._apply(None, 2)
         self.view.forget('i-2')
         self._apply(_FREE, 9)
-        self.assertEqual(self._departures(), {'i-2': Departure('r7', 7, 9)})
+        self.assertEqual(self._departures(), {'i-2': Departure('r7', 7, 1, 9)})
 
     def test_next_start_of_a_member_has_left_nothing(self) -> None:
         self._apply(attrs.evolve(_FREE, born_ms=200), 2)
--- a/tests/formation/test_takeovers.py
+++ b/tests/formation/test_takeovers.py
@@ -12,7 +12,8 @@
     ModelEngine,
     service_profile,
 )
-from tests.support.formation_builders import formation_planner
+from tests.support.formation_builders import STALL_S, formation_planner
+from yuccavalve.fleet.memberships import Departure
 
 _SIZES = (((6, 3), (0.67, 0.33)), ((3,), (1,)), ((3, 2), (0.5, 0.5)))
 _LATE_SHARES = (0, 0.1, 0.3, 0.5)
@@ -120,6 +121,24 @@
         self.assertEqual(planner.forming, {})
 
 
+class HiddenReplicaTest(unittest.TestCase):
+    """One of three engines was a spare and is in no replica any more."""
+
+    def test_spare_that_left_something_unseen_waits(self) -> None:
+        """It had joined a replica and left it between two readings."""
+        model = FleetModel(Random(1), service_profile((3,), (1,)))
+        model.add('d0', 3)
+        model.run(1)
+        planner = formation_planner(1)
+        left = Departure('standby-m3-1000005', 1000005, 0, model.now_s)
+        for waited_s, is_used in ((0, False), (5.9, False), (STALL_S, True)):
+            facts = attrs.evolve(model.facts(), departures={'d0-1': left})
+            tasks = planner.step(facts, left.at_s + waited_s)
+            joined = {task.engine.engine for task in tasks}
+            with self.subTest(waited_s=waited_s):
+                self.assertEqual('d0-1' in joined, is_used)
+
+
 class OrderSearchTest(unittest.TestCase):
     """Random faults of engines, orders and daemons, and changes of planners.
 
--- a/tests/support/fleet_model.py
+++ b/tests/support/fleet_model.py
@@ -428,11 +428,12 @@
                 name: Departure(
                     engine.left.replica,
                     engine.left.epoch,
+                    engine.left.rank,
                     engine.left_at_s + _STEP_S,
                 )
                 for name, engine in self.engines.items()
                 if name in listed and listed[name].membership is None
-                if engine.left is not None and engine.left.rank
+                if engine.left is not None
             },
         )
 
--- a/yuccavalve/fleet/memberships.py
+++ b/yuccavalve/fleet/memberships.py
@@ -10,16 +10,21 @@
 
 @attrs.frozen
 class Departure:
-    """An engine's leaving of a replica whose head engine is another one.
+    """An engine's leaving of a replica.
+
+    It may have been in another one since, between two readings of the list.
 
     Attributes
     ----------
+    rank
+        Its index among the members; the head engine has 0.
     at_s
         Monotonic time at which its record first showed that it had left.
     """
 
     replica: str
     epoch: int
+    rank: int
     at_s: float
 
 
@@ -51,10 +56,10 @@
             return
         if last is None or last.membership is None:
             return
-        is_same_start = last.born_ms == record.born_ms
-        if is_same_start and last.membership.rank:
+        left = last.membership
+        if last.born_ms == record.born_ms:
             self.departures[record.engine] = Departure(
-                last.membership.replica, last.membership.epoch, now_s
+                left.replica, left.epoch, left.rank, now_s
             )
 
     def forget_before(self, at_s: float) -> None:
--- a/yuccavalve/formation/endings.py
+++ b/yuccavalve/formation/endings.py
@@ -6,11 +6,13 @@
 takes to break.
 """
 
+import math
 from collections.abc import Collection, Iterable, Iterator
 
 import attrs
 
 from yuccavalve.fleet.const import RELIST_GRACE_S
+from yuccavalve.fleet.memberships import Departure
 from yuccavalve.formation.const import LINGER_S, RECORD_LAG_S
 from yuccavalve.formation.models import (
     FormationInput,
@@ -18,6 +20,7 @@
     OrderTask,
     RetiringReplica,
 )
+from yuccavalve.formation.observation import is_standby
 from yuccavalve.ports.fleet import (
     EngineRecord,
     GroupOrder,
@@ -47,6 +50,7 @@
     """
 
     stall_s: float
+    _began_at_s: float = math.inf
     _replaced: set[str] = attrs.field(factory=set)
     _ended: set[str] = attrs.field(factory=set)
     _unanswered: set[str] = attrs.field(factory=set)
@@ -61,6 +65,7 @@
 
     def clear(self) -> None:
         """Forget all answers."""
+        self._began_at_s = math.inf
         for answers in (
             self._replaced,
             self._ended,
@@ -89,6 +94,7 @@
         whose record shows it in the replica later on has joined it again by a
         late order.
         """
+        self._began_at_s = min(self._began_at_s, now_s)
         for replica, engine in self._confirmed:
             self._left_at_s.setdefault(replica, {}).setdefault(engine, now_s)
         self._confirmed.clear()
@@ -163,7 +169,7 @@
             *(
                 departure.at_s
                 for departure in facts.departures.values()
-                if departure.replica == replica.replica
+                if departure.replica == replica.replica and departure.rank
             ),
         ]
         if not out_at_s or now_s - min(out_at_s) < self.stall_s:
@@ -283,7 +289,7 @@
             for engine, departure in facts.departures.items()
             if now_s - departure.at_s < self.stall_s
             and departure.replica not in ended
-            and not _has_head_left(facts, departure.replica, departure.epoch)
+            and not self._is_free(facts, departure)
         )
         if facts.followed_s < self.stall_s:
             # Engines that this daemon may not have seen leave.
@@ -294,6 +300,20 @@
             )
         return bound
 
+    def _is_free(self, facts: FormationInput, departure: Departure) -> bool:
+        """Return whether nothing binds an engine that left a replica.
+
+        Between two readings a spare may have joined a replica and left it, and
+        a planner that takes over knows of no replica that ended before.
+        """
+        if is_standby(departure.replica):
+            return False
+        if not departure.rank:
+            return True
+        if departure.at_s <= self._began_at_s:
+            return False
+        return _has_head_left(facts, departure.replica, departure.epoch)
+
     def lost_replicas(
         self,
         facts: FormationInput,
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -118,8 +118,7 @@
     last_heads
         Newest records of replicas' head engines, by replica.
     departures
-        Engines that have left a replica of another head engine and joined none
-        since, by engine.
+        Engines that have left a replica and joined none since, by engine.
     """
 
     service: ServiceProfile
--- a/yuccavalve/formation/observation.py
+++ b/yuccavalve/formation/observation.py
@@ -14,6 +14,7 @@
     'held_model',
     'is_half_warm',
     'is_loading',
+    'is_standby',
     'is_warm',
     'missing_models',
     'model_of',
@@ -32,7 +33,7 @@
     members: dict[tuple[str, int], dict[str, Membership]] = defaultdict(dict)
     for record in (*facts.unlisted.values(), *facts.engines.values()):
         membership = record.membership
-        if membership is not None and not _is_standby(membership):
+        if membership is not None and not is_standby(membership.replica):
             key = (membership.replica, membership.epoch)
             members[key][record.engine] = membership
     return {
@@ -55,14 +56,15 @@
 def _standby_model(record: EngineRecord) -> str:
     """Return the model of an engine's standby replica, or an empty string."""
     membership = record.membership
-    if membership is None or not _is_standby(membership):
+    if membership is None or not is_standby(membership.replica):
         return ''
     model_and_epoch = membership.replica.removeprefix(STANDBY_PREFIX)
     return model_and_epoch.rpartition('-')[0]
 
 
-def _is_standby(membership: Membership) -> bool:
-    return membership.replica.startswith(STANDBY_PREFIX)
+def is_standby(replica: str) -> bool:
+    """Return whether a replica is a standby replica, by its name."""
+    return replica.startswith(STANDBY_PREFIX)
 
 
 def _head(members: Mapping[str, Membership]) -> str:
@@ -177,7 +179,7 @@
         return True
     return (
         membership is not None
-        and _is_standby(membership)
+        and is_standby(membership.replica)
         and membership.state is MemberState.JOINING
     )
 
