Forget replicas that are given up and have no engine left

Found by reading: a replica whose engines are all dead for good (a domain without power) has nobody who confirms that he left, so it was kept as one that ends until the planner changed. Nobody was bound, but the gauge replicas_ending stayed up, and if it had been given up for a busier model, no second one would have been for as long.

If some of them come back, their records show the replica again. A replica that has ended and was given up anew, as its head was listed again, ends with the last record of that head.

--- a/tests/formation/test_endings.py
+++ b/tests/formation/test_endings.py
@@ -15,6 +15,7 @@
     service_profile,
 )
 from tests.support.formation_builders import STALL_S, formation_planner
+from yuccavalve.fleet.const import UNLISTED_RETENTION_S
 from yuccavalve.formation import OrderTask
 from yuccavalve.formation.const import ENGINE_SILENCE_S, ORDER_TIMEOUT_S
 from yuccavalve.ports.fleet import GroupOrder, GroupOrderKind, OrderOutcome
@@ -210,6 +211,25 @@
                 self.assertGreater(joined.epoch, head.joined.epoch)
 
 
+class LostDomainTest(unittest.TestCase):
+    """All engines of a replica are dead for good."""
+
+    def test_its_end_is_not_waited_for(self) -> None:
+        """Nobody can confirm it, and nobody is bound."""
+        model = DaemonFleetModel(Random(1), service_profile((3,), (1,)))
+        model.add('d0', 3)
+        model.add('d1', 4)
+        model.daemons = [ModelDaemon() for _ in range(3)]
+        model.run_daemons(12)
+        for name in ('d0-0', 'd0-1', 'd0-2'):
+            model.kill(name)
+        model.run_daemons(3)
+        self.assertEqual(len(model.planner.retiring), 1)
+        model.run_daemons(UNLISTED_RETENTION_S + 3)
+        self.assertEqual(model.planner.retiring, {})
+        self.assertEqual(model.violations, [])
+
+
 class UnknownHeadTest(unittest.TestCase):
     """All daemons start anew after the record of a head has expired.
 
--- a/yuccavalve/formation/endings.py
+++ b/yuccavalve/formation/endings.py
@@ -29,7 +29,12 @@
     OrderOutcome,
 )
 
-__all__ = ('ReplicaEndings', 'has_left_by_record', 'headless_replicas')
+__all__ = (
+    'ReplicaEndings',
+    'has_engines',
+    'has_left_by_record',
+    'headless_replicas',
+)
 
 _NO_ANSWER = frozenset(
     (OrderOutcome.NOT_REACHED, OrderOutcome.UNKNOWN, OrderOutcome.SILENT)
@@ -163,7 +168,8 @@
         if replica.replica in self._replaced:
             return 'another engine at its address'
         if replica.replica in self._ended:
-            return ''
+            is_known = replica.head in facts.engines.keys() | facts.unlisted
+            return '' if is_known else 'members left'
         out_at_s = [
             *self._left_at_s.get(replica.replica, {}).values(),
             *(
@@ -364,6 +370,14 @@
     ]
 
 
+def has_engines(facts: FormationInput, replica: RetiringReplica) -> bool:
+    """Return whether any engine of a replica is known, listed or not."""
+    engines = {replica.head, *replica.members}
+    return not (
+        engines.isdisjoint(facts.engines) and engines.isdisjoint(facts.unlisted)
+    )
+
+
 def has_left_by_record(facts: FormationInput, replica: RetiringReplica) -> bool:
     """Return whether a head engine's record shows that it left its replica."""
     record = facts.engines.get(replica.head)
--- a/yuccavalve/formation/planner.py
+++ b/yuccavalve/formation/planner.py
@@ -31,6 +31,7 @@
 )
 from yuccavalve.formation.endings import (
     ReplicaEndings,
+    has_engines,
     has_left_by_record,
     headless_replicas,
 )
@@ -396,6 +397,11 @@
 
     def _finish_retiring(self, facts: FormationInput) -> None:
         for replica in list(self.retiring.values()):
+            if not has_engines(facts, replica):
+                # If some come back, their records show the replica again.
+                logging.info('event=replica_gone replica=%s', replica.replica)
+                self.retiring.pop(replica.replica)
+                continue
             proof = self.endings.proof(facts, replica, self._now_s)
             if not proof and self._has_left(facts, replica):
                 proof = 'head left'
