Test heads whose order to join or open lost its answer

The search covered both; no test of its own did. Both pass, and fail with the old rule put back on a scratch copy (a member joins another replica while its head is open).

Two docstrings still said that silence at all daemons, or a missing record, shows that an engine has stopped; the glossary has the stall time. No behavior changes; lint, tests.formation (95), test_order_passing and test_docs pass.

--- a/tests/formation/test_endings.py
+++ b/tests/formation/test_endings.py
@@ -189,6 +189,45 @@
         self.assertTrue(self._are_free())
 
 
+class LostAnswerTest(unittest.TestCase):
+    """The answer to an order that forms a replica is lost; its head is cut off.
+
+    The order was carried out, so that the head may be open.
+    """
+
+    def _check(self, kind: GroupOrderKind) -> None:
+        model = FleetModel(Random(1), service_profile((3,), (1,)))
+        model.add('d0', 4)
+        planner = formation_planner(1)
+        heads: list[ModelEngine] = []
+
+        def lose_answer(engine: ModelEngine, order: GroupOrder) -> bool:
+            is_lost = order.kind is kind and len(order.members) == 3
+            if heads or not is_lost or engine.engine != order.members[0]:
+                return False
+            model._carry_out(engine, order)
+            heads.append(engine)
+            return True
+
+        model.holds = lose_answer
+        while not model.open_heads('m3') or not heads:
+            model.run(0.1, planner)
+        head = model.open_heads('m3')[0]
+        model.cut(head.engine, store=True, planner=True)
+        model.silence(head.engine, 100)
+        model.run(_DETECTION_S + STALL_S + 4, planner)
+        self.assertEqual(model.violations, [])
+        epochs = [each.joined.epoch for each in model.open_heads('m3')]
+        self.assertEqual(len(epochs), 1)
+        self.assertGreater(epochs[0], head.joined.epoch)
+
+    def test_members_wait_for_a_head_whose_open_was_lost(self) -> None:
+        self._check(GroupOrderKind.OPEN)
+
+    def test_members_wait_for_a_head_whose_join_was_lost(self) -> None:
+        self._check(GroupOrderKind.JOIN)
+
+
 class ReturningMemberTest(unittest.TestCase):
     """A head stays out of reach; a member is listed again during the wait."""
 
--- a/yuccavalve/daemon/order_passing.py
+++ b/yuccavalve/daemon/order_passing.py
@@ -1,8 +1,8 @@
 """Pass the planner's orders to head engines on through other daemons.
 
 An engine that does not answer the planner may be cut off from it alone, and
-serve other daemons. One of them can then give it the order. If none of them
-gets an answer either, the engine has stopped.
+serve other daemons. One of them can then give it the order. Silence at all of
+them proves no end: it may serve on, out of reach.
 """
 
 import asyncio
--- a/yuccavalve/formation/models.py
+++ b/yuccavalve/formation/models.py
@@ -76,7 +76,7 @@
     strikes
         Consecutive strikes against head engines, as seen by requests.
     settled
-        Whether a missing record proves that its engine has stopped or leaves.
+        Whether a missing record shows that its engine has left the list.
         It does not during an outage of the store and shortly after it.
     started
         Whether callers' requests have begun.
