--- /dev/null
+++ b/review/harness_3/reborn.py
@@ -0,0 +1,160 @@
+"""A plain engine that is cut off, ends and starts again behind the cut."""
+
+import asyncio
+import time
+
+import attrs
+
+from review.harness_3.cut import async_pump, reset
+from review.harness_3.deployment import Deployment
+from tests.platform.standin import EngineStandin
+from yuccavalve.serving import HttpServer, bind_socket
+
+__all__ = ('Life', 'RebornEngine')
+
+_MISSED_BEATS = 3
+_POLL_S = 0.01
+
+
+@attrs.define
+class Life:
+    """One start of the engine behind a cut."""
+
+    started_at_s: float
+    cold_until_s: float
+    reached_at_s: float
+    listed_at_s: float
+    requests_s: list[float]
+
+
+@attrs.define(eq=False)
+class RebornEngine:
+    """The engine behind a proxy at an address that stays the same.
+
+    Attributes
+    ----------
+    beat_s
+        Time between the engine's writes to the store.
+    """
+
+    deployment: Deployment
+    name: str
+    cold_s: float
+    beat_s: float
+    lives: list[Life] = attrs.field(factory=list)
+    _target: str = ''
+    _is_cut: bool = False
+    _server: HttpServer | None = None
+    _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+
+    async def async_install(self) -> None:
+        """Put the proxy in front of the engine."""
+        engine = self.deployment.fleet.engines[self.name]
+        self._target = engine.address
+        server = await asyncio.start_server(self._async_accept, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        engine.address = f'127.0.0.1:{port}'
+
+    async def async_cut(
+        self, cut_s: float, started_after: float, after_beat_s: float
+    ) -> None:
+        """Cut the engine off from everything; it starts again meanwhile.
+
+        It writes to the store when it starts, and then at each check-in
+        interval; what it writes during the cut is lost. The entry of its last
+        start is removed after three intervals of silence.
+
+        Parameters
+        ----------
+        started_after
+            Part of the cut after which the engine starts.
+        after_beat_s
+            Time between its last write and the cut.
+        """
+        fleet = self.deployment.fleet
+        record = self.deployment.record
+        old = fleet.engines[self.name]
+        beat_at_s = await self._async_beat()
+        await asyncio.sleep(after_beat_s)
+        self._is_cut = True
+        for writer in self._writers:
+            reset(writer)
+        self._writers.clear()
+        fleet.engines.pop(self.name)
+        record.add(
+            f'{self.name} is cut off, {time.monotonic() - beat_at_s:.3f} s '
+            'after its last write'
+        )
+        expiry = asyncio.create_task(
+            self._async_expire(beat_at_s + _MISSED_BEATS * self.beat_s)
+        )
+        await asyncio.sleep(cut_s * started_after)
+        engine = await self._async_start_again(old)
+        started_at_s = time.monotonic()
+        engine.cold_until_s = started_at_s + self.cold_s
+        record.add(f'{self.name} has started again behind the cut')
+        await asyncio.sleep(cut_s * (1 - started_after))
+        self._is_cut = False
+        reached_at_s = time.monotonic()
+        record.add(f'{self.name} is reached again')
+        since_s = reached_at_s - started_at_s
+        await asyncio.sleep(self.beat_s - since_s % self.beat_s)
+        expiry.cancel()
+        fleet.engines[self.name] = engine
+        fleet.started.append(engine)
+        listed_at_s = time.monotonic()
+        record.add(f'{self.name} writes its entry')
+        self.lives.append(
+            Life(
+                started_at_s,
+                engine.cold_until_s,
+                reached_at_s,
+                listed_at_s,
+                engine.requests_s,
+            )
+        )
+
+    async def _async_beat(self) -> float:
+        """Wait for the engine's next write; return its time."""
+        store = self.deployment.fleet.store
+        sequence = store.document('servers', self.name)['seq']
+        while store.document('servers', self.name)['seq'] == sequence:
+            await asyncio.sleep(_POLL_S)
+        return time.monotonic()
+
+    async def _async_expire(self, at_s: float) -> None:
+        """Remove the entry of the last start."""
+        await asyncio.sleep(max(0, at_s - time.monotonic()))
+        await self.deployment.fleet.store.async_remove('servers', self.name)
+        self.deployment.record.add(f'the entry of {self.name} has expired')
+
+    async def _async_start_again(self, old: EngineStandin) -> EngineStandin:
+        """Start the engine under its id and at its address."""
+        fleet = self.deployment.fleet
+        old.alive = False
+        engine = EngineStandin(old.options, fleet.engines)
+        engine.all_runs = fleet.all_runs
+        engine.violations = fleet.violations
+        engine.ready_epochs = fleet.ready_epochs
+        engine.address = old.address
+        self._server = HttpServer(
+            engine.application, bind_socket('127.0.0.1:0')
+        )
+        await self._server.async_start()
+        self._target = self._server.address
+        return engine
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._is_cut:
+            reset(writer)
+            return
+        self._writers.add(writer)
+        host, _, port = self._target.rpartition(':')
+        upstream = await asyncio.open_connection(host, int(port))
+        await asyncio.gather(
+            async_pump(reader, upstream[1], writer),
+            async_pump(upstream[0], writer, upstream[1]),
+        )
+        self._writers.discard(writer)
