--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -13,7 +13,6 @@
     'tests.platform.standin',
     'tests.platform.support',
     'review.harness_3.deployment',
-    'review.harness_3.cut',
     'review.harness_3.reborn',
 ):
     importlib.import_module(name)
--- a/review/harness_3/reborn.py
+++ b/review/harness_3/reborn.py
@@ -1,11 +1,12 @@
 """A plain engine that is cut off, ends and starts again behind the cut."""
 
 import asyncio
+import socket
+import struct
 import time
 
 import attrs
 
-from review.harness_3.cut import async_pump, reset
 from review.harness_3.deployment import Deployment
 from tests.platform.standin import EngineStandin
 from yuccavalve.serving import HttpServer, bind_socket
@@ -14,6 +15,7 @@
 
 _MISSED_BEATS = 3
 _POLL_S = 0.01
+_READ_BYTES = 65536
 
 
 @attrs.define
@@ -78,7 +80,7 @@
         await asyncio.sleep(after_beat_s)
         self._is_cut = True
         for writer in self._writers:
-            reset(writer)
+            _reset(writer)
         self._writers.clear()
         fleet.engines.pop(self.name)
         record.add(
@@ -148,13 +150,38 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self._is_cut:
-            reset(writer)
+            _reset(writer)
             return
         self._writers.add(writer)
         host, _, port = self._target.rpartition(':')
         upstream = await asyncio.open_connection(host, int(port))
         await asyncio.gather(
-            async_pump(reader, upstream[1], writer),
-            async_pump(upstream[0], writer, upstream[1]),
+            _async_pump(reader, upstream[1], writer),
+            _async_pump(upstream[0], writer, upstream[1]),
         )
         self._writers.discard(writer)
+
+
+async def _async_pump(
+    source: asyncio.StreamReader,
+    sink: asyncio.StreamWriter,
+    back: asyncio.StreamWriter,
+) -> None:
+    try:
+        while chunk := await source.read(_READ_BYTES):
+            sink.write(chunk)
+            await sink.drain()
+    except OSError:
+        _reset(sink)
+        _reset(back)
+    finally:
+        sink.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info('socket')
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    writer.transport.abort()
