--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks that the stand-ins of cases 11 and 12 load; run it after the build of
+# Checks that the stand-ins of cases 11 to 13 load; run it after the build of
 # the deploy file. They are Python and use the deployed libraries alone.
 set -euo pipefail
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
