--- a/review/harness_3/reborn.py
+++ b/review/harness_3/reborn.py
@@ -1,4 +1,4 @@
-"""A plain engine that is cut off, ends and starts again behind the cut."""
+"""A plain engine that starts again while it is cut off from the store."""
 
 import asyncio
 import socket
@@ -6,6 +6,9 @@
 import time
 
 import attrs
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
 
 from review.harness_3.deployment import Deployment
 from tests.platform.standin import EngineStandin
@@ -24,7 +27,6 @@
 
     started_at_s: float
     cold_until_s: float
-    reached_at_s: float
     listed_at_s: float
     requests_s: list[float]
 
@@ -45,7 +47,6 @@
     beat_s: float
     lives: list[Life] = attrs.field(factory=list)
     _target: str = ''
-    _is_cut: bool = False
     _server: HttpServer | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
@@ -56,15 +57,17 @@
         server = await asyncio.start_server(self._async_accept, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         engine.address = f'127.0.0.1:{port}'
+        _add_health(engine)
 
     async def async_cut(
         self, cut_s: float, started_after: float, after_beat_s: float
     ) -> None:
-        """Cut the engine off from everything; it starts again meanwhile.
+        """Cut the engine off from the store; it starts again meanwhile.
 
         It writes to the store when it starts, and then at each check-in
-        interval; what it writes during the cut is lost. The entry of its last
-        start is removed after three intervals of silence.
+        interval; what it writes during the cut is lost. Requests reach it all
+        the time. The entry of its last start is removed after three intervals
+        of silence.
 
         Parameters
         ----------
@@ -78,14 +81,10 @@
         old = fleet.engines[self.name]
         beat_at_s = await self._async_beat()
         await asyncio.sleep(after_beat_s)
-        self._is_cut = True
-        for writer in self._writers:
-            _reset(writer)
-        self._writers.clear()
         fleet.engines.pop(self.name)
         record.add(
-            f'{self.name} is cut off, {time.monotonic() - beat_at_s:.3f} s '
-            'after its last write'
+            f'{self.name} is cut off from the store, '
+            f'{time.monotonic() - beat_at_s:.3f} s after its last write'
         )
         expiry = asyncio.create_task(
             self._async_expire(beat_at_s + _MISSED_BEATS * self.beat_s)
@@ -96,10 +95,8 @@
         engine.cold_until_s = started_at_s + self.cold_s
         record.add(f'{self.name} has started again behind the cut')
         await asyncio.sleep(cut_s * (1 - started_after))
-        self._is_cut = False
-        reached_at_s = time.monotonic()
-        record.add(f'{self.name} is reached again')
-        since_s = reached_at_s - started_at_s
+        record.add(f'{self.name} reaches the store again')
+        since_s = time.monotonic() - started_at_s
         await asyncio.sleep(self.beat_s - since_s % self.beat_s)
         expiry.cancel()
         fleet.engines[self.name] = engine
@@ -110,7 +107,6 @@
             Life(
                 started_at_s,
                 engine.cold_until_s,
-                reached_at_s,
                 listed_at_s,
                 engine.requests_s,
             )
@@ -139,19 +135,20 @@
         engine.violations = fleet.violations
         engine.ready_epochs = fleet.ready_epochs
         engine.address = old.address
+        _add_health(engine)
         self._server = HttpServer(
             engine.application, bind_socket('127.0.0.1:0')
         )
         await self._server.async_start()
         self._target = self._server.address
+        for writer in self._writers:
+            _reset(writer)
+        self._writers.clear()
         return engine
 
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._is_cut:
-            _reset(writer)
-            return
         self._writers.add(writer)
         host, _, port = self._target.rpartition(':')
         upstream = await asyncio.open_connection(host, int(port))
@@ -162,6 +159,18 @@
         self._writers.discard(writer)
 
 
+def _add_health(engine: EngineStandin) -> None:
+    """Let the engine answer its health path, and say there that it is cold."""
+
+    async def _async_health(request: Request) -> Response:
+        headers = {'Instance-Id': engine.options.engine}
+        if engine.cold_left_ms():
+            headers['Cold-Ms'] = str(engine.cold_left_ms())
+        return Response(headers=headers)
+
+    engine.application.routes.insert(0, Route('/health', _async_health))
+
+
 async def _async_pump(
     source: asyncio.StreamReader,
     sink: asyncio.StreamWriter,
