--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,8 +1,8 @@
-#!/usr/bin/env bash
+#!/bin/sh
 # Checks that the stand-ins of cases 11 to 13 load; run it after the build of
 # the deploy file. They are Python and use the deployed libraries alone.
-set -euo pipefail
-root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
+set -eu
+root=$(CDPATH='' cd -- "$(dirname -- "$0")/.." && pwd)
 cd "$root"
 export PYTHONPATH="$root:$root/platform:$root/target/deps"
 export PYTHONDONTWRITEBYTECODE=1
